--- /dev/null
+++ b/src/drill/main.cpp
@@ -0,0 +1,18 @@
+#include <iostream>
+
+#include "drill/wire.h"
+
+int main() {
+  std::ios::sync_with_stdio(false);
+  firvalve::drill::Drill drill;
+  std::string line;
+  for (int64_t number = 1; std::getline(std::cin, line); ++number) {
+    try {
+      std::cout << drill.answer(std::move(line)) << '\n' << std::flush;
+    } catch (const firvalve::drill::Malformed& e) {
+      std::cerr << "firvalve_drill: line " << number << ": " << e.what() << '\n';
+      return 1;
+    }
+  }
+  return 0;
+}
--- /dev/null
+++ b/src/drill/wire.cpp
@@ -0,0 +1,474 @@
+#include "drill/wire.h"
+
+#include <rapidjson/document.h>
+#include <rapidjson/error/en.h>
+#include <rapidjson/stringbuffer.h>
+#include <rapidjson/writer.h>
+
+#include <algorithm>
+#include <cmath>
+#include <cstring>
+
+namespace firvalve::drill {
+
+using rapidjson::Value;
+
+// An event's fields, read by name; what is absent or of the wrong type is told by event and field.
+class Fields {
+ public:
+  Fields(const std::string& event, const Value& value) : event_(event), value_(value) {
+    if (!value.IsObject()) throw Malformed("event " + event + ": not an object");
+  }
+
+  int64_t whole(const char* name) const { return whole_in(required(name), name); }
+  int64_t whole(const char* name, int64_t otherwise) const {
+    const Value* v = find(name);
+    return v ? whole_in(*v, name) : otherwise;
+  }
+  double number(const char* name, double otherwise) const {
+    const Value* v = find(name);
+    if (v && !v->IsNumber()) wrong(name, "a number");
+    return v ? v->GetDouble() : otherwise;
+  }
+  bool flag(const char* name) const {
+    const Value* v = find(name);
+    if (v && !v->IsBool()) wrong(name, "true or false");
+    return v && v->GetBool();
+  }
+  std::string text(const char* name) const {
+    const Value& v = required(name);
+    if (!v.IsString()) wrong(name, "a string");
+    return {v.GetString(), v.GetStringLength()};
+  }
+  CommandId command() const {
+    const std::string id = text("job");
+    CommandId c;
+    if (id.size() != c.text.size()) wrong("job", "16 characters");
+    std::copy(id.begin(), id.end(), c.text.begin());
+    return c;
+  }
+  const Value& required(const char* name) const {
+    const Value* v = find(name);
+    if (!v) wrong(name, "there");
+    return *v;
+  }
+  const Value* find(const char* name) const {
+    const auto at = value_.FindMember(name);
+    return at == value_.MemberEnd() || at->value.IsNull() ? nullptr : &at->value;
+  }
+  [[noreturn]] void wrong(const char* name, const std::string& wanted) const {
+    throw Malformed("event " + event_ + ": field " + name + " is not " + wanted);
+  }
+
+ private:
+  int64_t whole_in(const Value& v, const char* name) const {
+    if (v.IsInt64()) return v.GetInt64();
+    if (v.IsUint64()) return static_cast<int64_t>(v.GetUint64());
+    wrong(name, "a whole number");
+  }
+
+  const std::string& event_;
+  const Value& value_;
+};
+
+namespace {
+
+Ms to_ms(int64_t ns) { return static_cast<double>(ns) / 1e6; }
+int64_t to_ns(Ms ms) { return std::llround(ms * 1e6); }
+
+enum class Unit { kPlain, kTime };
+
+struct Rename {
+  const char* ours;
+  const char* wire;  // a path through the settings
+  Unit unit = Unit::kPlain;
+};
+
+const Rename kNames[] = {
+    {"zone", "zone"},
+    {"gateways", "peers_total"},
+    {"gateway number", "index"},
+    {"over-share worth", "over_share_worth"},
+    {"may cancel", "ceilings.cancel"},
+    {"may probe", "ceilings.probes"},
+    {"may message", "ceilings.peers"},
+    {"may advise", "ceilings.retry_after"},
+    {"may send twice at once", "ceilings.second_copies"},
+    {"longest advice", "ceilings.max_retry_after", Unit::kTime},
+    {"sends at most", "ceilings.try_limit"},
+    {"commands at most", "ceilings.open_cap"},
+    {"connect time-out", "ceilings.dial_timeout", Unit::kTime},
+    {"repeats marked", "client_habits.marks_retry"},
+    {"goal whole", "goal.whole"},
+    {"goal worst profile", "goal.worst_class"},
+    {"goal worst customer", "goal.worst_tenant"},
+    {"goal worst stretch", "goal.worst_window"},
+    {"price crossing", "fees.cross_zone"},
+    {"price late", "fees.late_fail"},
+    {"price waste", "fees.waste"},
+    {"price probe", "fees.probe"},
+    {"price message", "fees.peer"},
+    {"reports", "report.how"},
+    {"answer grace", "rules.grace_to_answer", Unit::kTime},
+    {"drain grace", "rules.stop_sending_within", Unit::kTime},
+    {"cold share", "rules.cold_from"},
+    {"warm-up", "rules.warm_up", Unit::kTime},
+    {"fall multiple", "rules.overload_factor"},
+    {"fall window", "rules.overload_for", Unit::kTime},
+    {"key rest", "rules.key_quiet", Unit::kTime},
+    {"further sends free", "rules.extra_free"},
+    {"further sends share", "rules.extra_ratio"},
+    {"further sends window", "rules.look_back", Unit::kTime},
+    {"answers tell cost", "specifics.bills"},
+    {"grants heeded", "specifics.grants_count"},
+    {"grant share at most", "specifics.most_grant"},
+    {"note period", "specifics.note_period", Unit::kTime},
+    {"priorities heeded", "specifics.takes_priority"},
+    {"on shortage", "specifics.on_shortage"},
+};
+const Rename kProfileNames[] = {
+    {"name", "name"},
+    {"benefit", "credit"},
+    {"late share", "late_share"},
+    {"latency target", "slo", Unit::kTime},
+    {"target stretch", "aim_stretch"},
+    {"client timeout", "deadline", Unit::kTime},
+    {"repeat window", "window", Unit::kTime},
+    {"group", "dedup_scope"},
+    {"in order", "keep_order"},
+};
+const Rename kCustomerNames[] = {{"name", "name"}, {"quota", "quota_per_s"}, {"share", "share"}};
+
+const Value* walk(const Value& from, const std::string& path) {
+  const Value* at = &from;
+  for (size_t begin = 0; begin <= path.size();) {
+    const size_t dot = std::min(path.find('.', begin), path.size());
+    if (!at->IsObject()) return nullptr;
+    const auto found = at->FindMember(path.substr(begin, dot - begin).c_str());
+    if (found == at->MemberEnd()) return nullptr;
+    at = &found->value;
+    begin = dot + 1;
+  }
+  return at;
+}
+
+// Puts a value under our name; numbers and flags as numbers, lists numbered from 0.
+void put(Articles& articles, const std::string& name, const Value& v, Unit unit) {
+  if (v.IsBool()) {
+    articles[name] = v.GetBool() ? 1.0 : 0.0;
+  } else if (v.IsNumber()) {
+    articles[name] = unit == Unit::kTime ? v.GetDouble() / 1e6 : v.GetDouble();
+  } else if (v.IsString()) {
+    articles[name] = std::string(v.GetString(), v.GetStringLength());
+  } else if (v.IsArray()) {
+    for (rapidjson::SizeType i = 0; i < v.Size(); ++i)
+      put(articles, name + "." + std::to_string(i), v[i], unit);
+  }
+}
+
+void put_item(Articles& articles, const std::string& name, const Value& settings, const char* list,
+              int item) {
+  const Value* v = walk(settings, list);
+  if (v && v->IsArray() && static_cast<int>(v->Size()) > item) put(articles, name, (*v)[item], Unit::kPlain);
+}
+
+Articles articles_from(const Value& settings) {
+  Articles all;
+  for (const Rename& r : kNames)
+    if (const Value* v = walk(settings, r.wire)) put(all, r.ours, *v, r.unit);
+  if (const Value* kinds = walk(settings, "shapes"); kinds && kinds->IsArray()) {
+    for (int i = 0; i < static_cast<int>(kinds->Size()); ++i) {
+      if (!(*kinds)[i].IsString()) continue;
+      put_item(all, std::string("cores.") + (*kinds)[i].GetString(), settings, "specifics.cores_by_kind", i);
+      put_item(all, std::string("memory.") + (*kinds)[i].GetString(), settings, "specifics.memory_by_kind_mb",
+               i);
+    }
+  }
+  if (const Value* profiles = walk(settings, "profiles"); profiles && profiles->IsArray()) {
+    for (int i = 0; i < static_cast<int>(profiles->Size()); ++i) {
+      const Value& p = (*profiles)[i];
+      const std::string at = "profile." + std::to_string(i) + ".";
+      for (const Rename& r : kProfileNames)
+        if (const Value* v = walk(p, r.wire)) put(all, at + r.ours, *v, r.unit);
+      if (const Value* v = walk(p, "azs_allowed")) put(all, at + "zone", *v, Unit::kPlain);
+      if (const Value* v = walk(p, "allowed_on")) put(all, at + "machine", *v, Unit::kPlain);
+      if (const Value* v = walk(p, "semantics"); v && v->IsString()) {
+        const std::string effect = v->GetString();
+        all[at + "effect"] = std::string(effect == "idempotent"     ? "replayable"
+                                         : effect == "deduplicated" ? "uniqued"
+                                                                    : "non-replayable");
+      }
+      put_item(all, at + "threads", settings, "specifics.class_threads", i);
+      put_item(all, at + "load", settings, "specifics.holds_tables", i);
+      put_item(all, at + "waits", settings, "specifics.class_waits", i);
+    }
+  }
+  if (const Value* customers = walk(settings, "tenants"); customers && customers->IsArray()) {
+    for (int i = 0; i < static_cast<int>(customers->Size()); ++i)
+      for (const Rename& r : kCustomerNames)
+        if (const Value* v = walk((*customers)[i], r.wire))
+          put(all, "customer." + std::to_string(i) + "." + r.ours, *v, r.unit);
+  }
+  return all;
+}
+
+std::vector<std::string> names_of(const Articles& a, const std::string& list) {
+  std::vector<std::string> names;
+  for (;;) {
+    const auto at = a.find(list + "." + std::to_string(names.size()) + ".name");
+    if (at == a.end() || !std::holds_alternative<std::string>(at->second)) return names;
+    names.push_back(std::get<std::string>(at->second));
+  }
+}
+
+int place_of(const std::vector<std::string>& names, const std::string& name) {
+  const auto at = std::find(names.begin(), names.end(), name);
+  return at == names.end() ? -1 : static_cast<int>(at - names.begin());
+}
+
+Outcome outcome_of(const Fields& f) {
+  static const std::pair<const char*, Outcome> kOutcomes[] = {
+      {"Ok", Outcome::kOk},
+      {"Failed", Outcome::kFailed},
+      {"QueueFull", Outcome::kFull},
+      {"TimedOut", Outcome::kTimedOut},
+      {"ConnectError", Outcome::kConnectFailed},
+      {"ResetByPeer", Outcome::kReset},
+      {"Canceled", Outcome::kCancelled},
+      {"Ignored", Outcome::kMoot},
+  };
+  const std::string name = f.text("disposition");
+  for (const auto& [wire, ours] : kOutcomes)
+    if (name == wire) return ours;
+  f.wrong("disposition", "a known outcome");
+}
+
+std::vector<Listing> listings_of(const Fields& f) {
+  const Value& members = f.required("members");
+  if (!members.IsArray()) f.wrong("members", "a list");
+  std::vector<Listing> all;
+  for (const Value& member : members.GetArray()) {
+    static const std::string kMember = "MANIFEST members";
+    const Fields m(kMember, member);
+    Listing l;
+    l.engine = static_cast<uint32_t>(m.whole("engine"));
+    l.zone = m.find("zone") ? m.text("zone") : "";
+    l.machine = m.find("generation_hw") ? m.text("generation_hw") : "";
+    l.cell = static_cast<int>(m.whole("block", 0));
+    const int64_t life = m.whole("lifecycle");
+    l.life = life == 1 ? Life::kReady : life == 2 ? Life::kDraining : Life::kGone;
+    l.born = to_ms(m.whole("born", 0));
+    all.push_back(l);
+  }
+  return all;
+}
+
+void append_text(std::string& out, const std::string& text) {
+  rapidjson::StringBuffer buffer;
+  rapidjson::Writer<rapidjson::StringBuffer> writer(buffer);
+  writer.String(text.c_str(), static_cast<rapidjson::SizeType>(text.size()));
+  out.append(buffer.GetString(), buffer.GetSize());
+}
+
+}  // namespace
+
+Drill::Gateway* Drill::held(int64_t id) {
+  const auto at = gateways_.find(id);
+  if (at == gateways_.end()) return nullptr;
+  if (!at->second.heard) {
+    at->second.heard = true;
+    order_.push_back(id);
+  }
+  return &at->second;
+}
+
+void Drill::take(const std::string& name, const Fields& f, Ms now) {
+  if (name == "MANIFEST") {
+    lists_[f.whole("ref")] = listings_of(f);
+    return;
+  }
+  static const char* const kKnown[] = {"START",   "KILLED", "UPDATE",       "ACCEPT", "CHANGE",
+                                       "SETTLED", "GONE",   "PROBE_RESULT", "BELL"};
+  if (std::none_of(std::begin(kKnown), std::end(kKnown), [&](const char* k) { return name == k; })) return;
+  const int64_t id = f.whole("gateway_id");
+  if (name == "START") {
+    const Value& settings = f.required("settings");
+    if (!settings.IsObject()) f.wrong("settings", "an object");
+    const int64_t salt = f.whole("salt");
+    const Articles articles = articles_from(settings);
+    gateways_.erase(id);
+    Gateway& g = gateways_[id];
+    g.state = open(articles, static_cast<uint64_t>(salt));
+    g.profiles = names_of(articles, "profile");
+    g.customers = names_of(articles, "customer");
+    std::erase(order_, id);
+    held(id);
+    return;
+  }
+  if (name == "KILLED") {
+    gateways_.erase(id);
+    std::erase(order_, id);
+    return;
+  }
+  // The fields are read first, so that a malformed event is told also where no such gateway is held.
+  Event event;
+  std::string profile, customer;
+  if (name == "UPDATE") {
+    Roster r;
+    const int64_t how = f.whole("how");
+    if (how == 2) return;  // a call failed: the old list holds
+    const auto list = lists_.find(f.whole("ref"));
+    if (list == lists_.end()) f.wrong("ref", "the number of a list");
+    r.full = how == 3 || how == 4;
+    r.listings = list->second;
+    event = std::move(r);
+  } else if (name == "ACCEPT") {
+    Taken t;
+    t.id = f.command();
+    profile = f.text("class");
+    if (f.find("billing") && f.find("billing")->IsString()) customer = f.text("billing");
+    t.has_key = f.find("target") != nullptr;
+    t.key = static_cast<uint64_t>(f.whole("target", 0));
+    t.gives_up_at = to_ms(f.whole("valid_until"));
+    t.estimate = to_ms(f.whole("plan_cost", 0));
+    t.memory_mb = f.number("est_memory_mb", 0);
+    t.tables = f.find("table_group") ? static_cast<int64_t>(f.number("table_group", 0)) : -1;
+    t.repeat = f.flag("resent");
+    event = t;
+  } else if (name == "CHANGE") {
+    Note n;
+    n.id = f.command();
+    n.send = static_cast<int>(f.whole("round_no"));
+    const int64_t kind = f.whole("kind");
+    if (kind < 1 || kind > 3) return;
+    n.kind = static_cast<NoteKind>(kind);
+    n.value = f.number("x", 0);
+    event = n;
+  } else if (name == "SETTLED") {
+    Settled r;
+    r.id = f.command();
+    r.send = static_cast<int>(f.whole("round_no"));
+    r.outcome = outcome_of(f);
+    r.took = to_ms(f.whole("time_taken"));
+    r.finished = f.flag("last");
+    const int64_t bill = f.whole("bill", 0);  // milliseconds x 4096 + memory in steps of 4 MB
+    r.work = static_cast<double>(bill / 4096);
+    r.memory_mb = static_cast<double>(bill % 4096) * 4;
+    event = r;
+  } else if (name == "PROBE_RESULT") {
+    event = Probed{static_cast<uint32_t>(f.whole("engine")), outcome_of(f)};
+  } else if (name == "GONE") {
+    event = ClientGone{f.command()};
+  } else {
+    event = Bell{static_cast<uint64_t>(f.whole("ref"))};
+  }
+  Gateway* g = held(id);
+  if (!g) return;
+  if (auto* t = std::get_if<Taken>(&event)) {
+    t->profile = place_of(g->profiles, profile);
+    t->tenant = place_of(g->customers, customer);
+    if (t->profile < 0) f.wrong("class", "the name of a profile");
+  }
+  hear(g->state, now, event);
+}
+
+void Drill::write(int64_t id, const Action& a) {
+  const auto begin = [&](const char* name) {
+    if (reply_.back() != '[') reply_ += ',';
+    reply_.append("{\"").append(name).append("\":{\"gateway_id\":").append(std::to_string(id));
+  };
+  const auto command = [&] {
+    reply_.append(",\"job\":");
+    append_text(reply_, std::string(a.id.text.begin(), a.id.text.end()));
+  };
+  const auto whole = [&](const char* name, int64_t value) {
+    reply_.append(",\"").append(name).append("\":").append(std::to_string(value));
+  };
+  switch (a.kind) {
+    case Action::Kind::kSend:
+      begin("RELAY"), command(), whole("engine", a.engine);
+      break;
+    case Action::Kind::kWithdraw:
+      begin("RETRACT"), command(), whole("round_no", a.number);
+      break;
+    case Action::Kind::kShed:
+      begin("DENY"), command();
+      if (a.wait > 0) whole("stay_away", to_ns(a.wait));
+      break;
+    case Action::Kind::kFail:
+      begin("FAIL"), command();
+      break;
+    case Action::Kind::kRank:
+      begin("GRANT_AND_RANK"), command(), whole("importance", a.number);
+      reply_.append(",\"allot_mb\":").append(std::to_string(a.memory_mb));
+      break;
+    case Action::Kind::kBell:
+      begin("SET_ALARM"), whole("wait", to_ns(a.wait)), whole("ref", a.number);
+      break;
+    case Action::Kind::kProbe:
+      begin("TEST"), whole("engine", a.engine);
+      break;
+    case Action::Kind::kLog:
+      begin("SAY_LOG"), reply_.append(",\"line\":"), append_text(reply_, a.text);
+      break;
+  }
+  reply_ += "}}";
+}
+
+void Drill::panic(int64_t id, const std::string& why) {
+  if (reply_.back() != '[') reply_ += ',';
+  reply_.append("{\"PANIC\":{\"gateway_id\":").append(std::to_string(id)).append(",\"line\":");
+  append_text(reply_, why);
+  reply_ += "}}";
+}
+
+void Drill::reply_for(int64_t id, Gateway& g, Ms now) {
+  g.heard = false;
+  actions_.clear();
+  try {
+    decide(g.state, now, actions_);
+  } catch (const std::exception& e) {
+    return panic(id, e.what());
+  }
+  for (const Action& a : actions_) write(id, a);
+}
+
+const std::string& Drill::answer(std::string line) {
+  rapidjson::Document batch;
+  batch.ParseInsitu(line.data());
+  if (batch.HasParseError())
+    throw Malformed(std::string("not JSON: ") + rapidjson::GetParseError_En(batch.GetParseError()));
+  static const std::string kBatch = "batch";
+  const Fields whole(kBatch, batch);
+  const Ms now = to_ms(whole.whole("wall"));
+  const Value& happened = whole.required("happened");
+  if (!happened.IsArray()) whole.wrong("happened", "a list");
+  reply_ = "{\"decisions\":[";
+  order_.clear();
+  for (const Value& one : happened.GetArray()) {
+    if (!one.IsObject() || one.MemberCount() != 1)
+      whole.wrong("happened", "a list of events with one name each");
+    const auto& member = *one.MemberBegin();
+    const std::string name(member.name.GetString(), member.name.GetStringLength());
+    const Fields fields(name, member.value);
+    try {
+      take(name, fields, now);
+    } catch (const Malformed&) {
+      throw;
+    } catch (const std::exception& e) {
+      panic(fields.whole("gateway_id"), e.what());
+    }
+  }
+  for (const int64_t id : order_) reply_for(id, gateways_.at(id), now);
+  reply_ += "]}";
+  return reply_;
+}
+
+Articles articles_of(const std::string& settings_json) {
+  rapidjson::Document settings;
+  settings.Parse(settings_json.c_str());
+  if (!settings.IsObject()) throw Malformed("settings: not an object");
+  return articles_from(settings);
+}
+
+}  // namespace firvalve::drill
--- /dev/null
+++ b/src/rules.cpp
@@ -0,0 +1,697 @@
+// The decisions of firvalve: which engine runs which command, when, and what is shed.
+//
+// Invoked by its host: open() at start, hear() for each event, decide() once after the events of one moment;
+// decide() sets what is wanted (out, held, ended, timed) and emit() alone turns the difference into actions.
+// The interface is rules.h. The design it follows, and each departure from it, is in docs/design.md.
+//
+// Beside the design, six mechanisms:
+//   1. level    a learned limit on the threads that this gateway runs at once on each engine
+//   2. line     commands without room wait here, most benefit for its work first, and end when past hope
+//   3. health   one judgement per engine from errors, silence and slowness; return by single trials
+//   4. warm-up  an engine that started, or came back from silence, gets a budget of work
+//   5. bad plan a send that runs far longer than predicted is withdrawn and sent again
+//   6. terms    priority and memory by prediction, where engines heed them
+#include "rules.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace firvalve {
+namespace {
+
+// ---- Constants ----------------------------------------------------------------------------------
+// Predictions (the design's open weightings)
+constexpr double kLearn = 0.03;       // share of a new outcome in a running mean: some 30 outcomes
+constexpr double kRatioMost = 20;     // times; a single outcome tells no more than this about a mean
+constexpr size_t kRecent = 512;       // commands; the top share is taken among these
+constexpr size_t kRecentLeast = 32;   // commands; fewer give no top share
+constexpr double kHeavyShare = 0.01;  // of commands: the design's start
+constexpr double kWorkFade = 0.998;   // a command; heavy and all work are summed over some 500
+constexpr size_t kPoolLeast = 2;      // engines: the design's least
+constexpr Ms kUnknownCost = 100;      // before anything is known of a profile
+// Pool overload (the design's figures)
+constexpr double kPoolBadShare = 0.2;   // of recent pool sends that end full or timed out
+constexpr double kPoolSendsLeast = 20;  // sends before that share is believed
+constexpr Ms kHeavyHold = 1000;         // that heavy commands are held before they are shed
+// Health (the first two are the design's)
+constexpr double kFailShare = 0.2;    // of sends that fail: the engine is skipped
+constexpr Ms kFailWindow = 10000;     // over which they are counted (as a fading count)
+constexpr double kFailLeast = 2.5;    // fading failures before the share is believed
+constexpr Ms kTrialFirst = 1000;      // until the first trial of a doubted engine
+constexpr Ms kTrialMost = 8000;       // the wait doubles up to this
+constexpr Ms kSilence = 600;          // without a sign of life while something is overdue: above long pauses
+constexpr double kOverdue = 4;        // times the predicted time before a send is overdue
+constexpr double kNotesMissed = 1.6;  // note periods without a note: one was surely missed
+constexpr double kSlowPeer = 3;       // times the median stretch: slower than its peers, not just busy
+// Level
+constexpr double kLevelStart = 1.5;     // threads a core, all gateways together: near where work done peaks
+constexpr double kLevelLeast = 1.0;     // threads a core: all cores busy, never less
+constexpr double kLevelMost = 4;        // threads a core: past any useful level
+constexpr double kStretchHigh = 1.9;    // time over time alone: cores or disks are crowded
+constexpr double kStretchLow = 1.5;     // below this there is room for more
+constexpr double kStretchLearn = 0.08;  // share of a new outcome: follows within a dozen
+constexpr double kStretchMost = 8;      // one sample tells no more
+constexpr double kLevelCut = 0.92;      // a step down
+constexpr Ms kLevelCutWait = 400;       // between steps down: the cut must show first
+constexpr Ms kLevelRaiseWait = 200;     // between steps up of one thread
+constexpr double kShortExtra = 1.25;    // times the limit for short commands, which free it soon
+// Line
+constexpr Ms kBeat = 20;          // between looks while commands are in hand: far under any target
+constexpr Ms kEndSlack = 30;      // before the client gives up: a held command ends here at the latest
+constexpr Ms kRepeatSlack = 200;  // off the window of uniqued commands, for the way there
+// Bad plan
+constexpr double kBadPlan = 4;     // times the predicted time: past the scatter of estimates
+constexpr Ms kBadPlanLeast = 300;  // running time below which nothing is withdrawn
+constexpr int kWithdrawMost = 2;   // withdrawals before the estimate is blamed instead
+// Warm-up
+constexpr double kColdPart = 0.5;     // of the allowed work to a cold engine: the rest is for chance
+constexpr double kCapacity = 0.85;    // of the cores: the bench's and the operators' meaning of capacity
+constexpr double kSilentCold = 3000;  // ms of silence after which an engine may have started anew
+// Terms
+constexpr double kGrantMargin = 1.15;  // over the predicted memory: short of it a command spills
+constexpr double kWarmTables = 0.85;   // of the work: what tables seen lately save
+
+double number(const Articles& a, const std::string& name, double otherwise = 0) {
+  const auto at = a.find(name);
+  const double* value = at == a.end() ? nullptr : std::get_if<double>(&at->second);
+  return value ? *value : otherwise;
+}
+
+std::string word(const Articles& a, const std::string& name) {
+  const auto at = a.find(name);
+  const std::string* value = at == a.end() ? nullptr : std::get_if<std::string>(&at->second);
+  return value ? *value : std::string();
+}
+
+std::vector<std::string> words(const Articles& a, const std::string& name) {
+  std::vector<std::string> all;
+  for (int i = 0; a.count(name + "." + std::to_string(i)); ++i)
+    all.push_back(word(a, name + "." + std::to_string(i)));
+  return all;
+}
+
+void blend(double& mean, double sample, double share) {
+  mean = mean == 0 ? sample : mean + share * (sample - mean);
+}
+
+Profile& profile_of(State& s, const Command& c) { return s.profiles[c.asked.profile]; }
+const Profile& profile_of(const State& s, const Command& c) { return s.profiles[c.asked.profile]; }
+
+Engine* engine_of(State& s, uint32_t id) {
+  const auto at = std::lower_bound(s.engines.begin(), s.engines.end(), id,
+                                   [](const Engine& e, uint32_t i) { return e.id < i; });
+  return at != s.engines.end() && at->id == id ? &*at : nullptr;
+}
+
+Command* command_of(State& s, const CommandId& id) {
+  for (const int place : s.live)
+    if (s.slab[place].asked.id == id) return &s.slab[place];
+  return nullptr;
+}
+
+bool allowed(const Profile& p, const Engine& e) {
+  const auto named = [](const std::vector<std::string>& list, const std::string& name) {
+    return list.empty() || std::find(list.begin(), list.end(), name) != list.end();
+  };
+  return named(p.zones, e.zone) && named(p.machines, e.machine);
+}
+
+Ms alone(const State& s, const Command& c) { return c.cost / profile_of(s, c).threads; }
+
+bool never_ran(Outcome o) {
+  return o == Outcome::kFull || o == Outcome::kConnectFailed || o == Outcome::kMoot;
+}
+
+// ---- Predictions --------------------------------------------------------------------------------
+
+void predict(State& s, Command& c) {
+  Profile& p = profile_of(s, c);
+  const Ms base = c.asked.estimate > 0 ? c.asked.estimate : p.mean_work > 0 ? p.mean_work : kUnknownCost;
+  c.cost = std::max(1.0, base * (c.asked.estimate > 0 && p.correction > 0 ? p.correction : 1));
+  blend(p.mean_cost, c.cost, kLearn);
+  if (s.recent_costs.size() < kRecent) {
+    s.recent_costs.push_back(c.cost);
+  } else {
+    s.recent_costs[s.recent_next++ % kRecent] = c.cost;
+  }
+  c.heavy = p.is_load || (s.heavy_from > 0 && c.cost >= s.heavy_from);
+  s.all_work = s.all_work * kWorkFade + c.cost;
+  s.heavy_work = s.heavy_work * kWorkFade + (c.heavy ? c.cost : 0);
+}
+
+void learn(State& s, const Command& c, const Settled& r) {
+  Profile& p = profile_of(s, c);
+  const Ms work = r.work > 0 ? r.work : r.took * p.threads;
+  blend(p.mean_work, work, kLearn);
+  if (c.asked.estimate > 0)
+    blend(p.correction, std::clamp(work / c.asked.estimate, 1 / kRatioMost, kRatioMost), kLearn);
+  if (r.memory_mb > 0 && c.asked.memory_mb > 0)
+    blend(p.memory_correction, std::min(r.memory_mb / c.asked.memory_mb, kRatioMost), kLearn);
+  Engine& e = s.engines[c.engine];
+  const Ms by_itself = (r.work > 0 ? r.work : c.cost) / p.threads;
+  if (!c.waited) blend(e.stretch, std::min(r.took / std::max(by_itself, 1.0), kStretchMost), kStretchLearn);
+  e.tables[static_cast<size_t>(c.sends + c.taken_at) % e.tables.size()] = c.asked.tables;
+}
+
+// ---- Guards of the rules ------------------------------------------------------------------------
+
+bool shed_is_true(const State& s, const Command& c) {
+  const Profile& p = profile_of(s, c);
+  if (p.effect == Effect::kReplayable) return true;
+  if (p.effect == Effect::kUniqued && p.group == Group::kAll) return true;
+  return !c.may_have_run && !c.out;
+}
+
+void end(const State& s, Command& c) { c.want = shed_is_true(s, c) ? Want::kShed : Want::kFail; }
+
+void start_cold(Engine& e, Ms since) {
+  e.cold_since = since;
+  e.spent.clear();
+}
+
+// ---- Events -------------------------------------------------------------------------------------
+
+void hear_roster(State& s, Ms now, const Roster& r) {
+  if (r.full)
+    for (Engine& e : s.engines)
+      if (std::none_of(r.listings.begin(), r.listings.end(),
+                       [&](const Listing& l) { return l.engine == e.id; }))
+        e.life = Life::kGone;
+  for (const Listing& l : r.listings) {
+    Engine* e = engine_of(s, l.engine);
+    if (!e) {
+      const auto at = std::lower_bound(s.engines.begin(), s.engines.end(), l.engine,
+                                       [](const Engine& x, uint32_t i) { return x.id < i; });
+      const int place = static_cast<int>(at - s.engines.begin());
+      for (const int i : s.live) {
+        Command& c = s.slab[i];
+        for (int* held : {&c.engine, &c.want_engine, &c.risked_on})
+          if (*held >= place) ++*held;
+      }
+      e = &*s.engines.insert(at, Engine{});
+      e->id = l.engine;
+      e->cold_since = -1;
+    }
+    e->zone = l.zone;
+    e->machine = l.machine;
+    e->cell = l.cell;
+    e->cores = number(s.articles, "cores." + l.machine, 1);
+    e->memory_mb = number(s.articles, "memory." + l.machine);
+    if (e->limit == 0) e->limit = kLevelStart * e->cores / s.gateways;
+    // Guards rule 4: a new start time, or an engine that joins, is a cold engine. `born` may lie well before
+    // this news; the ramp counts from the news where none is told.
+    const bool joins = e->life == Life::kGone && l.life == Life::kReady && now > 0;
+    e->life = l.life;
+    if (l.born > 0 && now - l.born < s.warm_up && e->cold_since < l.born) start_cold(*e, l.born);
+    if (joins) e->sign_at = now;
+  }
+}
+
+void hear_taken(State& s, Ms now, const Taken& t) {
+  if (t.profile < 0 || t.profile >= static_cast<int>(s.profiles.size())) return;
+  int place = static_cast<int>(s.slab.size());
+  if (s.free_places.empty()) {
+    s.slab.emplace_back();
+  } else {
+    place = s.free_places.back();
+    s.free_places.pop_back();
+  }
+  Command& c = s.slab[place] = Command{};
+  c.asked = t;
+  c.live = true;
+  c.taken_at = c.held_since = now;
+  s.live.push_back(place);
+  s.taken.add(now);
+  predict(s, c);
+}
+
+void hear_note(State& s, Ms now, const Note& n) {
+  Command* c = command_of(s, n.id);
+  if (!c || !c->out || n.send != c->sends - 1) return;
+  s.engines[c->engine].sign_at = now;
+  c->noted_at = now;
+  if (n.kind == NoteKind::kProgress) c->share_done = n.value;
+  if (n.kind == NoteKind::kWaits) c->waited = true;
+}
+
+void fade(double& a, double& b, Ms& counted_at, Ms now) {
+  const double left = std::exp(-(now - counted_at) / kFailWindow);
+  a *= left;
+  b *= left;
+  counted_at = now;
+}
+
+void hear_settled(State& s, Ms now, const Settled& r) {
+  Command* found = command_of(s, r.id);
+  if (!found || !found->out || r.send != found->sends - 1) return;
+  Command& c = *found;
+  Engine& e = s.engines[c.engine];
+  const Profile& p = profile_of(s, c);
+  c.out = false;
+  e.sends_out -= 1;
+  e.threads_out -= p.threads;
+  e.work_out = std::max(0.0, e.work_out - c.cost);
+  e.memory_out = std::max(0.0, e.memory_out - c.grant_mb);
+  fade(e.tries, e.fails, e.counted_at, now);
+  fade(s.pool_sends, s.pool_bad, s.pool_counted_at, now);
+  const bool lost =
+      r.outcome == Outcome::kFailed || r.outcome == Outcome::kReset || r.outcome == Outcome::kConnectFailed;
+  if (r.outcome == Outcome::kOk || lost || r.outcome == Outcome::kTimedOut) e.tries += 1;
+  if (lost) e.fails += 1;
+  if (e.in_pool && c.heavy) {
+    s.pool_sends += 1;
+    if (r.outcome == Outcome::kFull || r.outcome == Outcome::kTimedOut) s.pool_bad += 1;
+  }
+  if (r.outcome == Outcome::kOk) {
+    // Guards rule 4: an engine silent for long may have started anew before the list says so.
+    if (e.silent && now - e.sign_at > kSilentCold) start_cold(e, now);
+    e.silent = false;
+    e.trials = 0;
+    learn(s, c, r);
+  }
+  if (r.outcome == Outcome::kOk || r.outcome == Outcome::kFailed || r.outcome == Outcome::kFull)
+    e.sign_at = now;
+  if (r.outcome == Outcome::kFull) e.limit = std::max(1.0, e.limit * kLevelCut);
+  if (!never_ran(r.outcome) && !c.may_have_run) {
+    c.may_have_run = true;
+    c.risked_on = c.engine;
+    c.risked_at = c.sent_at;
+  }
+  // Guards rule 5: what may still run holds its key for the stated rest.
+  if (p.in_order && c.asked.has_key && s.key_rest > 0 &&
+      (r.outcome == Outcome::kTimedOut || r.outcome == Outcome::kReset || r.outcome == Outcome::kCancelled))
+    s.key_rests.push_back({c.asked.key, now + s.key_rest});
+  if (r.finished) c.ended = true;
+  if (c.ended) return;
+  c.want = Want::kHold;
+  c.held_since = now;
+  c.withdrawn = false;
+  if (r.outcome == Outcome::kTimedOut || now >= c.asked.gives_up_at - kEndSlack) c.want = Want::kFail;
+}
+
+// ---- Health -------------------------------------------------------------------------------------
+
+// Whether a send has run so long that its engine owed a sign of life.
+bool overdue(const State& s, const Command& c, const Engine& e, Ms now) {
+  const Ms since = std::max(c.sent_at, e.sign_at);
+  if (now - since < kSilence) return false;
+  if (s.note_period > 0 && now - std::max(since, c.noted_at) > kNotesMissed * s.note_period) return true;
+  return now - since > kOverdue * alone(s, c) * std::max(1.0, e.stretch);
+}
+
+}  // namespace
+
+uint32_t Pcg::next() {
+  const uint64_t old = state;
+  state = old * 6364136223846793005ULL + 1442695040888963407ULL;
+  const uint32_t shifted = static_cast<uint32_t>(((old >> 18) ^ old) >> 27);
+  const uint32_t turn = static_cast<uint32_t>(old >> 59);
+  return (shifted >> turn) | (shifted << ((32 - turn) & 31));
+}
+
+void Moments::add(Ms at) {
+  if (count_ == places_.size()) {
+    std::rotate(places_.begin(), places_.begin() + static_cast<long>(first_), places_.end());
+    first_ = 0;
+    places_.resize(std::max<size_t>(64, 2 * places_.size()));
+  }
+  places_[(first_ + count_++) % places_.size()] = at;
+}
+
+void Moments::forget_before(Ms at) {
+  while (count_ > 0 && places_[first_] < at) {
+    first_ = (first_ + 1) % places_.size();
+    --count_;
+  }
+}
+
+State open(const Articles& a, uint64_t salt) {
+  State s;
+  s.articles = a;
+  s.chance.state = salt * 2 + 1;
+  s.chance.next();
+  s.zone = word(a, "zone");
+  s.gateways = std::max(1.0, number(a, "gateways", 1));
+  s.most_sends = static_cast<int>(number(a, "sends at most", 1));
+  s.may_cancel = number(a, "may cancel") > 0;
+  s.may_probe = number(a, "may probe") > 0;
+  s.ranks = number(a, "priorities heeded") > 0;
+  s.grants = number(a, "grants heeded") > 0;
+  s.budgeted = a.count("further sends share") > 0 || a.count("further sends free") > 0;
+  s.budget_free = number(a, "further sends free");
+  s.budget_share = number(a, "further sends share");
+  s.budget_window = number(a, "further sends window");
+  s.key_rest = number(a, "key rest");
+  s.note_period = number(a, "note period");
+  s.warm_up = number(a, "warm-up");
+  s.cold_share = number(a, "cold share", 1);
+  s.fall_multiple = number(a, "fall multiple", 1);
+  s.fall_window = number(a, "fall window");
+  s.shed_advice = number(a, "may advise") > 0 ? number(a, "longest advice") : 0;
+  for (int i = 0; a.count("profile." + std::to_string(i) + ".name"); ++i) {
+    const std::string at = "profile." + std::to_string(i) + ".";
+    Profile p;
+    p.benefit = number(a, at + "benefit", 1);
+    p.late_share = number(a, at + "late share");
+    p.latency_target = number(a, at + "latency target");
+    p.target_stretch = number(a, at + "target stretch");
+    p.repeat_window = number(a, at + "repeat window");
+    const std::string effect = word(a, at + "effect"), group = word(a, at + "group");
+    p.effect = effect == "replayable" ? Effect::kReplayable
+               : effect == "uniqued"  ? Effect::kUniqued
+                                      : Effect::kNonReplayable;
+    p.group = group == "all" ? Group::kAll : group == "zone" ? Group::kZone : Group::kCell;
+    p.in_order = number(a, at + "in order") > 0;
+    p.is_load = number(a, at + "load") > 0;
+    p.waits = number(a, at + "waits") > 0;
+    p.threads = std::max(1, static_cast<int>(number(a, at + "threads", 1)));
+    p.zones = words(a, at + "zone");
+    p.machines = words(a, at + "machine");
+    s.profiles.push_back(p);
+  }
+  return s;
+}
+
+void hear(State& s, Ms now, const Event& event) {
+  if (const auto* r = std::get_if<Roster>(&event)) return hear_roster(s, now, *r);
+  if (const auto* t = std::get_if<Taken>(&event)) return hear_taken(s, now, *t);
+  if (const auto* n = std::get_if<Note>(&event)) return hear_note(s, now, *n);
+  if (const auto* r = std::get_if<Settled>(&event)) return hear_settled(s, now, *r);
+  if (const auto* g = std::get_if<ClientGone>(&event)) {
+    if (Command* c = command_of(s, g->id)) c->ended = true;
+  } else if (std::get_if<Bell>(&event)) {
+    if (now >= s.bell_at) s.bell_at = 0;
+  }
+}
+
+void judge_engines(State& s, Ms now) {
+  for (const int place : s.live) {
+    const Command& c = s.slab[place];
+    if (c.out && overdue(s, c, s.engines[c.engine], now)) s.engines[c.engine].silent = true;
+  }
+  s.sorted_costs.clear();
+  for (const Engine& e : s.engines)
+    if (e.life == Life::kReady && e.stretch > 0) s.sorted_costs.push_back(e.stretch);
+  std::sort(s.sorted_costs.begin(), s.sorted_costs.end());
+  const double median = s.sorted_costs.empty() ? 1 : std::max(1.0, s.sorted_costs[s.sorted_costs.size() / 2]);
+  for (Engine& e : s.engines) {
+    fade(e.tries, e.fails, e.counted_at, now);
+    const bool failing = e.fails >= kFailLeast && e.fails >= kFailShare * e.tries;
+    const bool doubted = e.silent || failing || e.stretch > kSlowPeer * median;
+    if (doubted && !e.doubted) {
+      e.trials = 0;
+      e.trial_at = now + kTrialFirst;
+    }
+    e.doubted = doubted;
+    // The level: down while its sends crowd each other, up while it binds and they do not.
+    const double least = kLevelLeast * e.cores / s.gateways;
+    if (e.stretch > kStretchHigh && now - e.limit_moved_at > kLevelCutWait) {
+      e.limit *= kLevelCut;
+      e.limit_moved_at = now;
+    } else if (e.stretch < kStretchLow && e.limit_met && now - e.limit_moved_at > kLevelRaiseWait) {
+      e.limit += 1;
+      e.limit_moved_at = now;
+    }
+    e.limit = std::clamp(e.limit, least, kLevelMost * e.cores);
+    e.limit_met = false;
+  }
+}
+
+// The pool by the design: one zone of two or more engines where there are several zones, or else the last
+// engines by id, sized to the heavy share of work. Every gateway draws the same zone: that of the last id.
+void draw_pool(State& s) {
+  std::vector<int>& ready = s.drawn;
+  ready.clear();
+  for (size_t i = 0; i < s.engines.size(); ++i) {
+    s.engines[i].in_pool = false;
+    if (s.engines[i].life == Life::kReady) ready.push_back(static_cast<int>(i));
+  }
+  if (ready.empty()) return;
+  double all_cores = 0, pool_cores = 0;
+  for (const int i : ready) all_cores += s.engines[i].cores;
+  bool by_zone = false;
+  for (size_t k = ready.size(); k-- > 0 && !by_zone;) {
+    const std::string& zone = s.engines[ready[k]].zone;
+    const auto inside = [&](int i) { return s.engines[i].zone == zone; };
+    const size_t count = static_cast<size_t>(std::count_if(ready.begin(), ready.end(), inside));
+    if (count < kPoolLeast || count == ready.size()) continue;
+    by_zone = true;
+    for (const int i : ready)
+      if (inside(i)) s.engines[i].in_pool = true;
+  }
+  if (!by_zone) {
+    const double share = s.all_work > 0 ? s.heavy_work / s.all_work : 0;
+    const size_t count =
+        std::clamp(static_cast<size_t>(std::lround(share * static_cast<double>(ready.size()))),
+                   std::min(kPoolLeast, ready.size()), ready.size());
+    for (size_t k = ready.size() - count; k < ready.size(); ++k) s.engines[ready[k]].in_pool = true;
+  }
+  for (const int i : ready)
+    if (s.engines[i].in_pool) pool_cores += s.engines[i].cores;
+  // The top share of predictions that counts as heavy.
+  if (s.recent_costs.size() < kRecentLeast) return;
+  s.sorted_costs = s.recent_costs;
+  const size_t top = std::max<size_t>(1, static_cast<size_t>(kHeavyShare * s.sorted_costs.size()));
+  std::nth_element(s.sorted_costs.begin(), s.sorted_costs.begin() + static_cast<long>(top - 1),
+                   s.sorted_costs.end(), std::greater<>());
+  s.heavy_from = s.sorted_costs[top - 1];
+}
+
+bool has_turn(const State& s, const Command& c, Ms now) {
+  const Profile& p = profile_of(s, c);
+  if (!p.in_order || !c.asked.has_key) return true;
+  for (const int place : s.live) {
+    const Command& earlier = s.slab[place];
+    if (&earlier == &c) break;
+    if (earlier.asked.has_key && earlier.asked.key == c.asked.key && profile_of(s, earlier).in_order)
+      return false;
+  }
+  // A command's own earlier sends do not delay it; rests of its key left by others do.
+  if (c.sends > 0) return true;
+  return std::none_of(s.key_rests.begin(), s.key_rests.end(),
+                      [&](const KeyRest& k) { return k.key == c.asked.key && now < k.until; });
+}
+
+bool budget_left(State& s, Ms now) {
+  if (!s.budgeted) return true;
+  s.taken.forget_before(now - s.budget_window);
+  s.further.forget_before(now - s.budget_window);
+  return static_cast<double>(s.further.size()) + 1 <=
+         s.budget_free + s.budget_share * static_cast<double>(s.taken.size());
+}
+
+bool may_send(const State& s, const Command& c, const Engine& e, Ms now) {
+  const Profile& p = profile_of(s, c);
+  if (c.ended || c.out || e.life != Life::kReady || !allowed(p, e) || c.sends >= s.most_sends) return false;
+  if (!c.may_have_run || p.effect == Effect::kReplayable) return true;
+  if (p.effect == Effect::kNonReplayable) return false;
+  const Engine& first = s.engines[c.risked_on];
+  const bool inside = p.group == Group::kAll || (p.group == Group::kZone && e.zone == first.zone) ||
+                      (p.group == Group::kCell && e.cell == first.cell);
+  return inside && now + kRepeatSlack < c.risked_at + p.repeat_window;
+}
+
+// Guards rule 4: how much work this gateway may still send to an engine within the stated window, its share
+// of what a ramp from the cold share allows. A burst right after the start spends the same budget.
+Ms cold_room(const State& s, Engine& e, Ms now) {
+  if (e.cold_since < 0 || now - e.cold_since > s.warm_up || s.fall_window <= 0) {
+    e.cold_since = -1;
+    return 1e12;
+  }
+  Ms spent = 0;
+  std::erase_if(e.spent, [&](const auto& x) { return x.first < now - s.fall_window; });
+  for (const auto& x : e.spent) spent += x.second;
+  const double warm = s.cold_share + (1 - s.cold_share) * (now - e.cold_since) / s.warm_up;
+  return kColdPart * s.fall_multiple * warm * kCapacity * e.cores * s.fall_window / s.gateways - spent;
+}
+
+// Two drawn candidates with room, the one with less own predicted work in flight. -1: none has room.
+int choose(State& s, const Command& c, Ms now) {
+  const Profile& p = profile_of(s, c);
+  const bool is_short = p.threads == 1 && !c.heavy;
+  const bool trial_fits = p.effect == Effect::kReplayable && is_short;
+  for (const bool pool : {c.heavy, !c.heavy}) {
+    s.drawn.clear();
+    for (size_t i = 0; i < s.engines.size(); ++i) {
+      Engine& e = s.engines[i];
+      if (e.in_pool != pool || !may_send(s, c, e, now)) continue;
+      if (e.doubted) {
+        if (trial_fits && e.sends_out == 0 && now >= e.trial_at && c.sends == 0) {
+          e.trial_at = now + std::min(kTrialMost, kTrialFirst * (1 << std::min(e.trials++, 4)));
+          return static_cast<int>(i);
+        }
+        continue;
+      }
+      const double limit = e.limit * (is_short ? kShortExtra : 1);
+      if (e.threads_out > 0 && e.threads_out + p.threads > limit) {
+        e.limit_met = true;
+        continue;
+      }
+      if (cold_room(s, e, now) < p.mean_cost) continue;
+      s.drawn.push_back(static_cast<int>(i));
+    }
+    if (s.drawn.empty()) continue;
+    const size_t count = s.drawn.size();
+    const size_t one = s.chance.next() % count;
+    const size_t two = count > 1 ? (one + 1 + s.chance.next() % (count - 1)) % count : one;
+    const auto load = [&](int i) {
+      const Engine& e = s.engines[i];
+      const bool warm = c.asked.tables >= 0 &&
+                        std::find(e.tables.begin(), e.tables.end(), c.asked.tables) != e.tables.end();
+      return (e.work_out + c.cost * (warm ? kWarmTables : 1)) * std::max(1.0, e.stretch) / e.cores;
+    };
+    return load(s.drawn[one]) <= load(s.drawn[two]) ? s.drawn[one] : s.drawn[two];
+  }
+  return -1;
+}
+
+// What is out: withdrawn where its engine went silent or its plan is bad, when it may be sent again.
+void review_out(State& s, Ms now) {
+  for (const int place : s.live) {
+    Command& c = s.slab[place];
+    if (!c.out || c.ended || c.withdrawn || !s.may_cancel) continue;
+    const Profile& p = profile_of(s, c);
+    const Engine& e = s.engines[c.engine];
+    const Ms ran = now - c.sent_at, left = c.asked.gives_up_at - now;
+    const Ms again = alone(s, c) * std::max(1.0, e.stretch);
+    if (p.effect != Effect::kReplayable || c.sends >= s.most_sends || left < again) continue;
+    if (e.silent && overdue(s, c, e, now)) {
+      if (budget_left(s, now)) c.want = Want::kWithdraw;
+      continue;
+    }
+    if (ran < kBadPlanLeast || c.withdrawals >= kWithdrawMost) continue;
+    const Ms whole = c.share_done > 0 ? (c.noted_at - c.sent_at) / c.share_done : ran;
+    if (whole > kBadPlan * again && whole - ran > again && budget_left(s, now)) {
+      c.want = Want::kWithdraw;
+      c.withdrawals += 1;
+    }
+  }
+}
+
+// What is held: most benefit for its work first; each goes out where there is room, or waits, or ends.
+void review_line(State& s, Ms now) {
+  s.line.clear();
+  for (const int place : s.live) {
+    const Command& c = s.slab[place];
+    if (!c.ended && !c.out && c.want == Want::kHold) s.line.push_back(place);
+  }
+  if (s.line.empty()) return;
+  const auto late = [&](const Command& c) {
+    const Profile& p = profile_of(s, c);
+    return now + alone(s, c) > c.taken_at + p.latency_target + p.target_stretch * alone(s, c);
+  };
+  const auto worth = [&](int place) {
+    const Command& c = s.slab[place];
+    const Profile& p = profile_of(s, c);
+    return p.benefit * (late(c) ? p.late_share : 1) / c.cost;
+  };
+  std::stable_sort(s.line.begin(), s.line.end(), [&](int a, int b) { return worth(a) > worth(b); });
+  const bool pool_overloaded = s.pool_sends >= kPoolSendsLeast && s.pool_bad >= kPoolBadShare * s.pool_sends;
+  for (const int place : s.line) {
+    Command& c = s.slab[place];
+    const Profile& p = profile_of(s, c);
+    const bool hopeless = now + std::min(alone(s, c), 0.9 * (c.asked.gives_up_at - c.taken_at)) >
+                          c.asked.gives_up_at - kEndSlack;
+    const bool spent = c.sends >= s.most_sends || (c.may_have_run && p.effect == Effect::kNonReplayable);
+    if (hopeless || spent) {
+      end(s, c);
+      continue;
+    }
+    if (c.heavy && pool_overloaded) {
+      if (now - c.taken_at >= kHeavyHold) end(s, c);
+      continue;
+    }
+    if (!has_turn(s, c, now) || (c.sends > 0 && !budget_left(s, now))) continue;
+    const int i = choose(s, c, now);
+    if (i < 0) continue;
+    if (c.sends > 0) s.further.add(now);  // here, so that the next in line sees it
+    c.want = Want::kOut;
+    c.want_engine = i;
+    c.want_rank = c.heavy ? 0 : p.threads == 1 ? 3 : 1;
+    const double memory = c.asked.memory_mb * (p.memory_correction > 0 ? p.memory_correction : 1);
+    c.want_grant_mb = s.grants ? memory * kGrantMargin : 0;
+    Engine& e = s.engines[i];
+    e.sends_out += 1;
+    e.threads_out += p.threads;
+    e.work_out += c.cost;
+    e.memory_out += c.want_grant_mb;
+    if (e.cold_since >= 0) e.spent.push_back({now, std::max(c.cost, p.mean_cost)});
+  }
+}
+
+void decide(State& s, Ms now, Actions& out) {
+  std::erase_if(s.key_rests, [&](const KeyRest& k) { return now >= k.until; });
+  judge_engines(s, now);
+  draw_pool(s);
+  review_out(s, now);
+  review_line(s, now);
+  bool in_hand = false;
+  for (const int place : s.live) in_hand |= !s.slab[place].ended;
+  s.want_bell = in_hand ? now + kBeat : 0;
+  emit(s, now, out);
+}
+
+void emit(State& s, Ms now, Actions& out) {
+  const auto act = [&](Action::Kind kind, const Command& c) -> Action& {
+    Action& a = out.emplace_back();
+    a.kind = kind;
+    a.id = c.asked.id;
+    return a;
+  };
+  for (const int place : s.live) {
+    Command& c = s.slab[place];
+    if (c.ended) {
+      // Work that serves nobody any more is called off: the client left while it ran.
+      if (!c.out || c.withdrawn || !s.may_cancel) continue;
+      act(Action::Kind::kWithdraw, c).number = c.sends - 1;
+      c.withdrawn = true;
+    } else if (c.want == Want::kOut && !c.out) {
+      const bool rank = s.ranks && c.want_rank != c.rank, grant = s.grants && c.want_grant_mb != c.grant_mb;
+      if (rank || grant) {
+        Action& a = act(Action::Kind::kRank, c);
+        a.number = c.rank = c.want_rank;
+        a.memory_mb = c.grant_mb = c.want_grant_mb;
+      }
+      act(Action::Kind::kSend, c).engine = s.engines[c.want_engine].id;
+      c.sends += 1;
+      c.engine = c.want_engine;
+      c.out = true;
+      c.withdrawn = c.waited = false;
+      c.share_done = 0;
+      c.sent_at = c.noted_at = now;
+    } else if (c.want == Want::kWithdraw && c.out && !c.withdrawn) {
+      act(Action::Kind::kWithdraw, c).number = c.sends - 1;
+      c.withdrawn = true;
+    } else if (c.want == Want::kShed || c.want == Want::kFail) {
+      if (c.want == Want::kShed) {
+        act(Action::Kind::kShed, c).wait = s.shed_advice;
+      } else {
+        act(Action::Kind::kFail, c);
+      }
+      c.ended = true;
+    }
+  }
+  // A place is free once its command has ended and nothing of it is out.
+  std::erase_if(s.live, [&](int place) {
+    Command& c = s.slab[place];
+    if (!c.ended || c.out) return false;
+    c.live = false;
+    s.free_places.push_back(place);
+    return true;
+  });
+  for (Engine& e : s.engines) {
+    if (!e.want_probe || e.probing || !s.may_probe) continue;
+    Action& a = out.emplace_back();
+    a.kind = Action::Kind::kProbe;
+    a.engine = e.id;
+    e.probing = true;
+  }
+  if (s.want_bell > 0 && s.bell_at == 0) {
+    Action& a = out.emplace_back();
+    a.kind = Action::Kind::kBell;
+    a.wait = s.want_bell - now;
+    s.bell_at = s.want_bell;
+  }
+}
+
+}  // namespace firvalve
--- /dev/null
+++ b/src/rules.h
@@ -0,0 +1,243 @@
+// The interface of the decision module and the state it works on: events in, actions out.
+// What is decided, and every value that shapes a decision, is in rules.cpp.
+#pragma once
+
+#include <array>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <utility>
+#include <variant>
+#include <vector>
+
+namespace firvalve {
+
+using Ms = double;  // all times and all work: milliseconds with fractions
+
+struct CommandId {
+  std::array<char, 16> text{};
+  bool operator==(const CommandId&) const = default;
+};
+
+// What a gateway is told at start: a plain map of names to values.
+using Article = std::variant<double, std::string>;
+using Articles = std::map<std::string, Article>;
+
+enum class Effect { kReplayable, kUniqued, kNonReplayable };
+enum class Group { kAll, kZone, kCell };
+enum class Outcome { kOk, kFailed, kFull, kTimedOut, kConnectFailed, kReset, kCancelled, kMoot };
+enum class Life { kGone, kReady, kDraining };
+enum class NoteKind { kProgress = 1, kSpills = 2, kWaits = 3 };
+
+// ---- Events -------------------------------------------------------------------------------------
+
+struct Listing {
+  uint32_t engine = 0;
+  std::string zone, machine;
+  int cell = 0;
+  Life life = Life::kReady;
+  Ms born = 0;  // 0: long ago
+};
+struct Roster {
+  bool full = false;  // the whole list: what it omits is gone
+  std::vector<Listing> listings;
+};
+struct Taken {
+  CommandId id;
+  int profile = 0, tenant = -1;
+  bool has_key = false, repeat = false;
+  uint64_t key = 0;
+  Ms gives_up_at = 0;
+  Ms estimate = 0;  // work of all threads; 0: none given
+  double memory_mb = 0;
+  int64_t tables = -1;
+};
+struct Note {
+  CommandId id;
+  int send = 0;
+  NoteKind kind = NoteKind::kProgress;
+  double value = 0;
+};
+struct Settled {
+  CommandId id;
+  int send = 0;
+  Outcome outcome = Outcome::kOk;
+  Ms took = 0;
+  bool finished = false;
+  Ms work = 0;  // what the answer says it cost; 0: not told
+  double memory_mb = 0;
+};
+struct Probed {
+  uint32_t engine = 0;
+  Outcome outcome = Outcome::kOk;
+};
+struct ClientGone {
+  CommandId id;
+};
+struct Bell {
+  uint64_t ref = 0;
+};
+using Event = std::variant<Roster, Taken, Note, Settled, Probed, ClientGone, Bell>;
+
+// ---- Actions ------------------------------------------------------------------------------------
+
+struct Action {
+  enum class Kind { kSend, kWithdraw, kShed, kFail, kRank, kBell, kProbe, kLog };
+  Kind kind = Kind::kLog;
+  CommandId id;
+  uint32_t engine = 0;
+  int number = 0;        // the send to withdraw, the priority, the bell's ref
+  Ms wait = 0;           // until the bell; the advice with a shed
+  double memory_mb = 0;  // the grant, 0: the engine's own choice
+  std::string text;
+};
+using Actions = std::vector<Action>;
+
+// ---- State --------------------------------------------------------------------------------------
+
+struct Pcg {
+  uint64_t state = 0;
+  uint32_t next();
+};
+
+struct Profile {
+  double benefit = 0, late_share = 0;
+  Ms latency_target = 0, repeat_window = 0;
+  double target_stretch = 0;
+  Effect effect = Effect::kReplayable;
+  Group group = Group::kAll;
+  bool in_order = false, is_load = false, waits = false;
+  int threads = 0;
+  std::vector<std::string> zones, machines;  // where it may run; empty: anywhere
+  // Learned:
+  double correction = 0;         // running mean of true over estimated cost
+  double memory_correction = 0;  // the same for memory
+  Ms mean_cost = 0;              // running mean of predicted cost
+  Ms mean_work = 0;              // running mean of true cost, for commands that carry no estimate
+  double asked = 0, won = 0;     // recent benefit taken, and answered in time
+};
+
+struct Engine {
+  uint32_t id = 0;
+  std::string zone, machine;
+  int cell = 0;
+  Life life = Life::kGone;
+  double cores = 0, memory_mb = 0;
+  bool in_pool = false;
+  // This gateway's own sends there:
+  int sends_out = 0, threads_out = 0;
+  Ms work_out = 0;
+  double memory_out = 0;
+  // Its health as seen from here:
+  double tries = 0, fails = 0;  // fading counts
+  Ms counted_at = 0;
+  Ms sign_at = 0;        // last sign of life
+  bool doubted = false;  // gets one trial at a time
+  bool silent = false;   // and owes a sign of life
+  Ms trial_at = 0;       // the next trial, or probe
+  int trials = 0;        // in a row without success
+  // Its level:
+  double limit = 0;    // threads that this gateway runs there at once
+  double stretch = 0;  // recent time over time alone
+  bool limit_met = false;
+  Ms limit_moved_at = 0;
+  // Its warmth:
+  Ms cold_since = 0;                     // below 0: warm
+  std::vector<std::pair<Ms, Ms>> spent;  // while cold: when and how much work was sent
+  std::array<int64_t, 4> tables{-1, -1, -1, -1};
+  bool want_probe = false;
+  bool probing = false;
+};
+
+enum class Want { kHold, kOut, kWithdraw, kShed, kFail };
+
+struct Command {
+  Taken asked;
+  Ms taken_at = 0;
+  Ms cost = 0;  // predicted
+  bool heavy = false;
+  Ms held_since = 0;
+  // Present state:
+  bool live = false, out = false, withdrawn = false, ended = false;
+  int sends = 0, engine = -1;
+  Ms sent_at = 0, noted_at = 0;
+  double share_done = 0;
+  bool waited = false;
+  int withdrawals = 0;
+  bool may_have_run = false;
+  int risked_on = -1;  // the engine and time of the first send that may have run
+  Ms risked_at = 0;
+  int rank = -1;
+  double grant_mb = 0;
+  // Wanted state:
+  Want want = Want::kHold;
+  int want_engine = -1, want_rank = -1;
+  double want_grant_mb = 0;
+};
+
+// A queue of moments in reused places.
+class Moments {
+ public:
+  void add(Ms at);
+  void forget_before(Ms at);
+  size_t size() const { return count_; }
+
+ private:
+  std::vector<Ms> places_;
+  size_t first_ = 0, count_ = 0;
+};
+
+struct KeyRest {
+  uint64_t key = 0;
+  Ms until = 0;
+};
+
+struct State {
+  Pcg chance;
+  std::vector<Profile> profiles;
+  Articles articles;
+  std::vector<Engine> engines;  // by id; places move only when a new id is listed
+  std::vector<Command> slab;    // commands in hand, places reused
+  std::vector<int> free_places;
+  std::vector<int> live;         // places in the order taken
+  std::vector<int> line, drawn;  // scratch
+  std::vector<KeyRest> key_rests;
+  Moments taken, further;  // for the budget of further sends
+  std::vector<Ms> recent_costs, sorted_costs;
+  size_t recent_next = 0;
+  Ms heavy_from = 0;
+  double heavy_work = 0, all_work = 0;  // fading sums of predicted work
+  double pool_sends = 0, pool_bad = 0;  // fading counts
+  Ms pool_counted_at = 0;
+  Ms bell_at = 0, want_bell = 0;
+  // Read from the articles once, since every command needs them:
+  std::string zone;
+  double gateways = 1;
+  int most_sends = 0;
+  bool may_cancel = false, may_probe = false, ranks = false, grants = false;
+  bool budgeted = false;
+  double budget_free = 0, budget_share = 0;
+  Ms budget_window = 0, key_rest = 0, note_period = 0;
+  Ms warm_up = 0, fall_window = 0, shed_advice = 0;
+  double cold_share = 0, fall_multiple = 0;
+};
+
+// ---- The module ---------------------------------------------------------------------------------
+
+State open(const Articles& articles, uint64_t salt);
+void hear(State& s, Ms now, const Event& event);  // takes an event into the state
+void decide(State& s, Ms now, Actions& out);      // once after the events of one moment
+void emit(State& s, Ms now, Actions& out);        // the difference of wanted and present state
+
+// The parts of decide, apart for the tests.
+void judge_engines(State& s, Ms now);
+void draw_pool(State& s);
+void review_out(State& s, Ms now);
+void review_line(State& s, Ms now);
+bool may_send(const State& s, const Command& c, const Engine& e, Ms now);
+bool has_turn(const State& s, const Command& c, Ms now);
+bool budget_left(State& s, Ms now);
+Ms cold_room(const State& s, Engine& e, Ms now);
+int choose(State& s, const Command& c, Ms now);
+
+}  // namespace firvalve
--- /dev/null
+++ b/tests/rules_test.cpp
@@ -0,0 +1,327 @@
+#include "rules.h"
+
+#include "helpers.h"
+
+namespace firvalve {
+namespace {
+
+using Kind = Action::Kind;
+
+// Rule 1: one final answer.
+TEST(Answer, TimedOutAtTheEndFailsInTheSameReply) {
+  State s = state_with(1, {profile(Effect::kReplayable)});
+  Command& c = add_command(s);
+  put_out(s, c, 0, 0);
+  hear(s, 10000, settled(c, Outcome::kTimedOut));
+  Actions out;
+  emit(s, 10000, out);
+  EXPECT_EQ(count_of(out, Kind::kFail), 1);
+  EXPECT_TRUE(s.live.empty());
+}
+
+TEST(Answer, HeldCommandEndsBeforeTheClientGivesUp) {
+  State s = state_with(0, {profile(Effect::kReplayable)});
+  Command& c = add_command(s);
+  review_line(s, 9900);
+  EXPECT_EQ(c.want, Want::kShed);
+}
+
+TEST(Answer, NothingIsSaidAfterTheClientLeft) {
+  State s = state_with(1, {profile(Effect::kReplayable)});
+  add_command(s).ended = true;
+  Actions out;
+  emit(s, 10, out);
+  EXPECT_TRUE(out.empty());
+  EXPECT_TRUE(s.live.empty());
+}
+
+TEST(Answer, WorkOfAClientThatLeftIsCalledOff) {
+  State s = state_with(1, {profile(Effect::kReplayable)});
+  Command& c = add_command(s);
+  put_out(s, c, 0, 0);
+  c.ended = true;
+  Actions out;
+  emit(s, 10, out);
+  emit(s, 11, out);
+  EXPECT_EQ(count_of(out, Kind::kWithdraw), 1);
+  EXPECT_EQ(s.live.size(), 1u);  // its key and place are kept until it has settled
+}
+
+// Rule 2: no effect twice.
+struct AfterOutcome : testing::TestWithParam<std::tuple<Outcome, bool>> {};
+
+TEST_P(AfterOutcome, NonReplayableGoesOutAgainOnlyIfItNeverRan) {
+  const auto [outcome, again] = GetParam();
+  State s = state_with(1, {profile(Effect::kNonReplayable)});
+  Command& c = add_command(s);
+  put_out(s, c, 0, 0);
+  hear(s, 100, settled(c, outcome));
+  EXPECT_EQ(may_send(s, c, s.engines[0], 100), again);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Table, AfterOutcome,
+    testing::Values(std::tuple(Outcome::kFailed, false), std::tuple(Outcome::kFull, true),
+                    std::tuple(Outcome::kTimedOut, false), std::tuple(Outcome::kConnectFailed, true),
+                    std::tuple(Outcome::kReset, false), std::tuple(Outcome::kCancelled, false),
+                    std::tuple(Outcome::kMoot, true)));
+
+TEST(Effects, NonReplayableThatMayHaveRunFailsAndIsNotShed) {
+  State s = state_with(1, {profile(Effect::kNonReplayable)});
+  Command& c = add_command(s);
+  c.sends = 1;
+  c.may_have_run = true;
+  review_line(s, 100);
+  EXPECT_EQ(c.want, Want::kFail);
+}
+
+TEST(Effects, UniquedStaysInItsGroupAndWindow) {
+  Profile p = profile(Effect::kUniqued);
+  p.group = Group::kZone;
+  p.repeat_window = 5000;
+  State s = state_with(2, {p});
+  s.engines[0].zone = "a";
+  s.engines[1].zone = "b";
+  Command& c = add_command(s);
+  c.sends = 1;
+  c.may_have_run = true;
+  c.risked_on = 0;
+  c.risked_at = 100;
+  EXPECT_TRUE(may_send(s, c, s.engines[0], 4000));
+  EXPECT_FALSE(may_send(s, c, s.engines[1], 4000));
+  EXPECT_FALSE(may_send(s, c, s.engines[0], 5050));
+}
+
+TEST(Effects, NeverTwoSendsAtOnceNorPastTheLimit) {
+  State s = state_with(1, {profile(Effect::kReplayable)});
+  Command& c = add_command(s);
+  put_out(s, c, 0, 0);
+  EXPECT_FALSE(may_send(s, c, s.engines[0], 10));
+  c.out = false;
+  EXPECT_TRUE(may_send(s, c, s.engines[0], 10));
+  c.sends = s.most_sends;
+  EXPECT_FALSE(may_send(s, c, s.engines[0], 10));
+}
+
+// Rule 3: drains.
+TEST(Drains, NothingNewToAnEngineThatDrainsOrLeft) {
+  State s = state_with(2, {profile(Effect::kReplayable)});
+  Command& c = add_command(s);
+  Listing draining;
+  draining.engine = 10;
+  draining.life = Life::kDraining;
+  hear(s, 50, Roster{true, {draining}});  // a full list: 20 is gone
+  EXPECT_FALSE(may_send(s, c, s.engines[0], 50));
+  EXPECT_FALSE(may_send(s, c, s.engines[1], 50));
+}
+
+TEST(Drains, ANewEngineKeepsThePlacesOfTheOthers) {
+  State s = state_with(2, {profile(Effect::kReplayable)});
+  Command& c = add_command(s);
+  put_out(s, c, 1, 0);
+  Listing early;
+  early.engine = 5;
+  hear(s, 50, Roster{false, {early}});
+  EXPECT_EQ(s.engines[static_cast<size_t>(c.engine)].id, 20u);
+}
+
+// Rule 4: cold engines.
+TEST(ColdEngine, BudgetHoldsOverTheWindowAndGrowsWithWarmth) {
+  State s = state_with(1, {profile(Effect::kReplayable)});
+  s.warm_up = 10000;
+  s.fall_window = 2000;
+  s.fall_multiple = 3;
+  s.cold_share = 0.3;
+  s.gateways = 2;
+  Engine& e = s.engines[0];
+  e.cold_since = 0;
+  const Ms at_start = cold_room(s, e, 0);
+  EXPECT_LT(at_start, 3 * 0.3 * 8 * 2000 / 2);  // never over this gateway's share
+  e.spent.push_back({0, at_start});
+  EXPECT_LE(cold_room(s, e, 1), 1000);
+  EXPECT_GT(cold_room(s, e, 5000), at_start);
+  EXPECT_GT(cold_room(s, e, 10001), 1e9);
+}
+
+TEST(ColdEngine, AnswerAfterLongSilenceCountsAsAStart) {
+  State s = state_with(1, {profile(Effect::kReplayable)});
+  Command& c = add_command(s);
+  put_out(s, c, 0, 0);
+  s.engines[0].silent = true;
+  hear(s, 9000, settled(c, Outcome::kOk));
+  EXPECT_EQ(s.engines[0].cold_since, 9000);
+}
+
+// Rule 5: order.
+TEST(Order, OneAtATimePerKeyInTheOrderTaken) {
+  Profile p = profile(Effect::kUniqued);
+  p.in_order = true;
+  State s = state_with(1, {p});
+  Command& first = add_command(s);
+  Command& second = add_command(s);
+  Command& other = add_command(s);
+  first.asked.has_key = second.asked.has_key = other.asked.has_key = true;
+  other.asked.key = 7;
+  first.ended = first.out = true;  // ended, but its send has not settled
+  EXPECT_FALSE(has_turn(s, second, 10));
+  EXPECT_TRUE(has_turn(s, other, 10));
+  s.live.erase(s.live.begin());
+  EXPECT_TRUE(has_turn(s, second, 10));
+}
+
+TEST(Order, KeyRestsAfterASendThatMayStillRun) {
+  Profile p = profile(Effect::kUniqued);
+  p.in_order = true;
+  State s = state_with(1, {p});
+  s.key_rest = 300;
+  Command& first = add_command(s);
+  first.asked.has_key = true;
+  put_out(s, first, 0, 0);
+  hear(s, 100, settled(first, Outcome::kReset));
+  Command next = first;
+  next.sends = 0;
+  s.live.clear();
+  EXPECT_FALSE(has_turn(s, next, 399));
+  EXPECT_TRUE(has_turn(s, next, 400));
+}
+
+// Rule 6: placement.
+TEST(Placement, HeldWhenNoAllowedEngineIsThere) {
+  Profile p = profile(Effect::kReplayable);
+  p.machines = {"big"};
+  State s = state_with(2, {p});
+  Command& c = add_command(s);
+  s.engines[0].machine = "small";
+  s.engines[1].machine = "big";
+  EXPECT_EQ(choose(s, c, 10), 1);
+  s.engines[1].life = Life::kGone;
+  EXPECT_EQ(choose(s, c, 10), -1);
+}
+
+// Rule 7: the budget of further sends.
+TEST(Budget, SlidesWithTheWindow) {
+  State s = state_with(1, {profile(Effect::kReplayable)});
+  s.budgeted = true;
+  s.budget_free = 1;
+  s.budget_share = 0.1;
+  s.budget_window = 5000;
+  for (int i = 0; i < 10; ++i) s.taken.add(100);
+  EXPECT_TRUE(budget_left(s, 100));
+  s.further.add(100);
+  s.further.add(200);
+  EXPECT_FALSE(budget_left(s, 5000));  // 2 of 1 + 1
+  EXPECT_TRUE(budget_left(s, 5250));   // all have slid out
+}
+
+TEST(Budget, OneMomentsSendsCountForEachOther) {
+  State s = state_with(4, {profile(Effect::kReplayable)});
+  s.budgeted = true;
+  s.budget_free = 1;
+  s.budget_window = 5000;
+  for (int i = 0; i < 3; ++i) add_command(s).sends = 1;
+  review_line(s, 10);
+  Actions out;
+  emit(s, 10, out);
+  EXPECT_EQ(count_of(out, Kind::kSend), 1);
+}
+
+// The design.
+TEST(Design, HeavyGoesToThePoolAndOverflows) {
+  State s = state_with(3, {profile(Effect::kReplayable)});
+  Command& c = add_command(s);
+  c.heavy = true;
+  s.engines[2].in_pool = true;
+  EXPECT_EQ(choose(s, c, 10), 2);
+  s.engines[2].threads_out = 16;
+  EXPECT_NE(choose(s, c, 10), 2);
+}
+
+TEST(Design, PoolIsAZoneOfTwoOrElseTheLastById) {
+  State s = state_with(4, {profile(Effect::kReplayable)});
+  draw_pool(s);
+  EXPECT_FALSE(s.engines[1].in_pool);
+  EXPECT_TRUE(s.engines[2].in_pool && s.engines[3].in_pool);
+  s.engines[0].zone = s.engines[3].zone = "b";
+  draw_pool(s);
+  EXPECT_TRUE(s.engines[0].in_pool && s.engines[3].in_pool);
+  EXPECT_FALSE(s.engines[2].in_pool);
+}
+
+TEST(Design, LessPredictedWorkOfTwoDrawn) {
+  State s = state_with(2, {profile(Effect::kReplayable)});
+  Command& c = add_command(s);
+  s.engines[0].work_out = 500;
+  EXPECT_EQ(choose(s, c, 10), 1);
+}
+
+TEST(Design, OverloadedPoolHoldsHeavyThenSheds) {
+  State s = state_with(2, {profile(Effect::kReplayable)});
+  s.pool_sends = 20;
+  s.pool_bad = 5;
+  Command& heavy = add_command(s);
+  Command& light = add_command(s);
+  heavy.heavy = true;
+  review_line(s, 500);
+  EXPECT_EQ(heavy.want, Want::kHold);
+  EXPECT_EQ(light.want, Want::kOut);
+  review_line(s, 1000);
+  EXPECT_EQ(heavy.want, Want::kShed);
+}
+
+TEST(Design, FailingEngineIsSkipped) {
+  State s = state_with(2, {profile(Effect::kReplayable, 2)});
+  Command& c = add_command(s);
+  s.engines[0].tries = 10;
+  s.engines[0].fails = 4;
+  judge_engines(s, 0);
+  EXPECT_EQ(choose(s, c, 10), 1);
+}
+
+// Beside the design.
+TEST(Health, SilentEngineIsDoubtedAndItsReplayableWorkWithdrawn) {
+  State s = state_with(2, {profile(Effect::kReplayable)});
+  Command& c = add_command(s);
+  put_out(s, c, 0, 0);
+  judge_engines(s, 5000);
+  EXPECT_TRUE(s.engines[0].doubted);
+  review_out(s, 5000);
+  EXPECT_EQ(c.want, Want::kWithdraw);
+}
+
+TEST(BadPlan, WithdrawnWhenItsPaceIsFarOffThePrediction) {
+  State s = state_with(1, {profile(Effect::kReplayable)});
+  Command& c = add_command(s);
+  put_out(s, c, 0, 0);
+  c.share_done = 0.1;
+  c.noted_at = 400;  // 4 s in all against 100 ms
+  review_out(s, 400);
+  EXPECT_EQ(c.want, Want::kWithdraw);
+}
+
+TEST(Level, CutWhenCrowdedAndRaisedWhenItBinds) {
+  State s = state_with(2, {profile(Effect::kReplayable)});
+  s.engines[0].stretch = 2.5;
+  s.engines[1].stretch = 1;
+  s.engines[1].limit_met = true;
+  judge_engines(s, 1000);
+  EXPECT_LT(s.engines[0].limit, 16);
+  EXPECT_GT(s.engines[1].limit, 16);
+}
+
+TEST(Slab, PlacesAreUsedAgain) {
+  State s = state_with(1, {profile(Effect::kReplayable)});
+  Taken t;
+  t.gives_up_at = 10000;
+  for (int i = 0; i < 5; ++i) {
+    t.id = id_of(i);
+    hear(s, i, t);
+    Actions out;
+    decide(s, i, out);
+    hear(s, i, settled(s.slab[0], Outcome::kOk));
+    decide(s, i, out);
+  }
+  EXPECT_EQ(s.slab.size(), 1u);
+}
+
+}  // namespace
+}  // namespace firvalve
