--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -23,6 +23,8 @@
 // Predictions (the design's open weightings)
 constexpr double kLearn = 0.03;       // share of a new outcome in a running mean: some 30 outcomes
 constexpr double kRatioMost = 20;     // times; a single outcome tells no more than this about a mean
+constexpr int kBaseWindow = 20;       // outcomes whose mean is one reading of the uncrowded ratio
+constexpr double kBaseDrift = 1.01;   // a window: the yardstick is forgotten within some hundred windows
 constexpr size_t kRecent = 512;       // commands; the top share is taken among these
 constexpr size_t kRecentLeast = 32;   // commands; fewer give no top share
 constexpr double kHeavyShare = 0.01;  // of commands: the design's start
@@ -116,8 +118,6 @@
   return named(p.zones, e.zone) && named(p.machines, e.machine);
 }
 
-Ms alone(const State& s, const Command& c) { return c.cost / profile_of(s, c).threads; }
-
 bool never_ran(Outcome o) {
   return o == Outcome::kFull || o == Outcome::kConnectFailed || o == Outcome::kMoot;
 }
@@ -128,6 +128,7 @@
   Profile& p = profile_of(s, c);
   const Ms base = c.asked.estimate > 0 ? c.asked.estimate : p.mean_work > 0 ? p.mean_work : kUnknownCost;
   c.cost = std::max(1.0, base * (c.asked.estimate > 0 && p.correction > 0 ? p.correction : 1));
+  c.alone = (p.base > 0 ? base * p.base : c.cost) / p.threads;
   blend(p.mean_cost, c.cost, kLearn);
   if (s.recent_costs.size() < kRecent) {
     s.recent_costs.push_back(c.cost);
@@ -147,8 +148,18 @@
     blend(p.correction, std::clamp(work / c.asked.estimate, 1 / kRatioMost, kRatioMost), kLearn);
   if (r.memory_mb > 0 && c.asked.memory_mb > 0)
     blend(p.memory_correction, std::min(r.memory_mb / c.asked.memory_mb, kRatioMost), kLearn);
+  // Guards against calling a crowd normal: where the answer tells no cost, latency stands in for it, and its
+  // mean rises with the crowding that it should show. The quickest stretch of outcomes is the yardstick.
+  if (r.work <= 0 && c.asked.estimate > 0) {
+    p.window_sum += std::min(work / c.asked.estimate, kRatioMost);
+    if (++p.window_count == kBaseWindow) {
+      const double mean = p.window_sum / kBaseWindow;
+      p.base = p.base > 0 ? std::min(mean, p.base * kBaseDrift) : mean;
+      p.window_sum = p.window_count = 0;
+    }
+  }
   Engine& e = s.engines[c.engine];
-  const Ms by_itself = (r.work > 0 ? r.work : c.cost) / p.threads;
+  const Ms by_itself = r.work > 0 ? r.work / p.threads : c.alone;
   if (!c.waited) blend(e.stretch, std::min(r.took / std::max(by_itself, 1.0), kStretchMost), kStretchLearn);
   e.tables[static_cast<size_t>(c.sends + c.taken_at) % e.tables.size()] = c.asked.tables;
 }
@@ -296,7 +307,7 @@
   const Ms since = std::max(c.sent_at, e.sign_at);
   if (now - since < kSilence) return false;
   if (s.note_period > 0 && now - std::max(since, c.noted_at) > kNotesMissed * s.note_period) return true;
-  return now - since > kOverdue * alone(s, c) * std::max(1.0, e.stretch);
+  return now - since > kOverdue * c.alone * std::max(1.0, e.stretch);
 }
 
 }  // namespace
@@ -553,7 +564,7 @@
     const Profile& p = profile_of(s, c);
     const Engine& e = s.engines[c.engine];
     const Ms ran = now - c.sent_at, left = c.asked.gives_up_at - now;
-    const Ms again = alone(s, c) * std::max(1.0, e.stretch);
+    const Ms again = c.alone * std::max(1.0, e.stretch);
     if (p.effect != Effect::kReplayable || c.sends >= s.most_sends || left < again) continue;
     if (e.silent && overdue(s, c, e, now)) {
       if (budget_left(s, now)) c.want = Want::kWithdraw;
@@ -578,7 +589,7 @@
   if (s.line.empty()) return;
   const auto late = [&](const Command& c) {
     const Profile& p = profile_of(s, c);
-    return now + alone(s, c) > c.taken_at + p.latency_target + p.target_stretch * alone(s, c);
+    return now + c.alone > c.taken_at + p.latency_target + p.target_stretch * c.alone;
   };
   const auto worth = [&](int place) {
     const Command& c = s.slab[place];
@@ -590,8 +601,8 @@
   for (const int place : s.line) {
     Command& c = s.slab[place];
     const Profile& p = profile_of(s, c);
-    const bool hopeless = now + std::min(alone(s, c), 0.9 * (c.asked.gives_up_at - c.taken_at)) >
-                          c.asked.gives_up_at - kEndSlack;
+    const bool hopeless =
+        now + std::min(c.alone, 0.9 * (c.asked.gives_up_at - c.taken_at)) > c.asked.gives_up_at - kEndSlack;
     const bool spent = c.sends >= s.most_sends || (c.may_have_run && p.effect == Effect::kNonReplayable);
     if (hopeless || spent) {
       end(s, c);
--- a/src/rules.h
+++ b/src/rules.h
@@ -114,7 +114,9 @@
   double memory_correction = 0;  // the same for memory
   Ms mean_cost = 0;              // running mean of predicted cost
   Ms mean_work = 0;              // running mean of true cost, for commands that carry no estimate
-  double asked = 0, won = 0;     // recent benefit taken, and answered in time
+  double base = 0;  // of latency x threads to the estimate, in the quickest stretch so far: uncrowded
+  double window_sum = 0;
+  int window_count = 0;
 };
 
 struct Engine {
@@ -154,7 +156,8 @@
 struct Command {
   Taken asked;
   Ms taken_at = 0;
-  Ms cost = 0;  // predicted
+  Ms cost = 0;   // predicted
+  Ms alone = 0;  // predicted time on an engine by itself
   bool heavy = false;
   Ms held_since = 0;
   // Present state:
--- a/tests/helpers.h
+++ b/tests/helpers.h
@@ -54,7 +54,7 @@
   c.asked.id = id_of(place);
   c.asked.profile = profile;
   c.asked.gives_up_at = 10000;
-  c.cost = 100;
+  c.cost = c.alone = 100;
   c.live = true;
   return c;
 }
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -308,6 +308,20 @@
   EXPECT_GT(s.engines[1].limit, 16);
 }
 
+TEST(Level, CrowdingShowsWhereAnswersTellNoCost) {
+  State s = state_with(1, {profile(Effect::kReplayable)});
+  s.profiles[0].base = 1;
+  s.profiles[0].correction = 3;  // learned from crowded latencies
+  Taken t;
+  t.id = id_of(1);
+  t.estimate = 50;
+  t.gives_up_at = 10000;
+  hear(s, 0, t);
+  put_out(s, s.slab[0], 0, 0);
+  hear(s, 100, settled(s.slab[0], Outcome::kOk));
+  EXPECT_DOUBLE_EQ(s.engines[0].stretch, 2);
+}
+
 TEST(Slab, PlacesAreUsedAgain) {
   State s = state_with(1, {profile(Effect::kReplayable)});
   Taken t;
