--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -52,6 +52,7 @@
 constexpr double kStretchHigh = 1.9;    // time over time alone: cores or disks are crowded
 constexpr double kStretchLow = 1.5;     // below this there is room for more
 constexpr double kStretchLearn = 0.08;  // share of a new outcome: follows within a dozen
+constexpr double kStretchJump = 0.4;    // share of one outcome at most, however much work it was
 constexpr double kStretchMost = 8;      // one sample tells no more
 constexpr double kLevelCut = 0.92;      // a step down
 constexpr Ms kLevelCutWait = 400;       // between steps down: the cut must show first
@@ -160,7 +161,13 @@
   }
   Engine& e = s.engines[c.engine];
   const Ms by_itself = r.work > 0 ? r.work / p.threads : c.alone;
-  if (!c.waited) blend(e.stretch, std::min(r.took / std::max(by_itself, 1.0), kStretchMost), kStretchLearn);
+  // Weighed by work where it is told: short commands of high priority glide past a crowd that holds up all
+  // others. A guessed work only adds noise to the weight.
+  const double told = r.work / std::max(1.0, s.all_work * (1 - kWorkFade));
+  const double weight = kStretchLearn * (r.work > 0 ? told : 1);
+  if (!c.waited)
+    blend(e.stretch, std::min(r.took / std::max(by_itself, 1.0), kStretchMost),
+          std::min(weight, kStretchJump));
   e.tables[static_cast<size_t>(c.sends + c.taken_at) % e.tables.size()] = c.asked.tables;
 }
 
