--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -63,9 +63,11 @@
 constexpr Ms kEndSlack = 30;      // before the client gives up: a held command ends here at the latest
 constexpr Ms kRepeatSlack = 200;  // off the window of uniqued commands, for the way there
 // Bad plan
-constexpr double kBadPlan = 4;     // times the predicted time: past the scatter of estimates
-constexpr Ms kBadPlanLeast = 300;  // running time below which nothing is withdrawn
-constexpr int kWithdrawMost = 2;   // withdrawals before the estimate is blamed instead
+constexpr double kBadPlan = 4;       // times the predicted time: past the scatter of estimates
+constexpr Ms kBadPlanLeast = 300;    // running time below which nothing is withdrawn
+constexpr int kWithdrawMost = 2;     // withdrawals before the estimate is blamed instead
+constexpr double kWaitsForLoad = 2;  // the note's word for standing still while a load holds the tables
+constexpr Ms kTablesHeld = 3000;     // that such news is kept: a load's usual length
 // Warm-up
 constexpr double kColdPart = 0.5;     // of the allowed work to a cold engine: the rest is for chance
 constexpr double kCapacity = 0.85;    // of the cores: the bench's and the operators' meaning of capacity
@@ -250,6 +252,10 @@
   c->noted_at = now;
   if (n.kind == NoteKind::kProgress) c->share_done = n.value;
   if (n.kind == NoteKind::kWaits) c->waited = true;
+  if (n.kind == NoteKind::kWaits && n.value == kWaitsForLoad && !stands_still(s, *c, s.engines[c->engine])) {
+    s.held_tables.push_back({s.engines[c->engine].id, c->asked.tables, now + kTablesHeld});
+    c->stuck = true;
+  }
 }
 
 void fade(double& a, double& b, Ms& counted_at, Ms now) {
@@ -475,6 +481,21 @@
   s.heavy_from = s.sorted_costs[top - 1];
 }
 
+// Whether a load holds what the command reads on that engine: one of this gateway's own, or as told by a send
+// that stood still there.
+bool stands_still(const State& s, const Command& c, const Engine& e) {
+  const Profile& p = profile_of(s, c);
+  if (c.asked.tables < 0 || !(p.waits || p.is_load)) return false;
+  for (const int place : s.live) {
+    const Command& other = s.slab[place];
+    const bool there = &other != &c && other.engine >= 0 && &s.engines[other.engine] == &e;
+    if (there && other.out && other.asked.tables == c.asked.tables && profile_of(s, other).is_load)
+      return true;
+  }
+  return std::any_of(s.held_tables.begin(), s.held_tables.end(),
+                     [&](const HeldTables& h) { return h.engine == e.id && h.tables == c.asked.tables; });
+}
+
 bool has_turn(const State& s, const Command& c, Ms now) {
   const Profile& p = profile_of(s, c);
   if (!p.in_order || !c.asked.has_key) return true;
@@ -545,7 +566,7 @@
         e.limit_met = true;
         continue;
       }
-      if (cold_room(s, e, now) < p.mean_cost) continue;
+      if (cold_room(s, e, now) < p.mean_cost || stands_still(s, c, e)) continue;
       s.drawn.push_back(static_cast<int>(i));
     }
     if (s.drawn.empty()) continue;
@@ -573,7 +594,7 @@
     const Ms ran = now - c.sent_at, left = c.asked.gives_up_at - now;
     const Ms again = c.alone * std::max(1.0, e.stretch);
     if (p.effect != Effect::kReplayable || c.sends >= s.most_sends || left < again) continue;
-    if (e.silent && overdue(s, c, e, now)) {
+    if (c.stuck || (e.silent && overdue(s, c, e, now))) {
       if (budget_left(s, now)) c.want = Want::kWithdraw;
       continue;
     }
@@ -638,6 +659,7 @@
 }
 
 void decide(State& s, Ms now, Actions& out) {
+  std::erase_if(s.held_tables, [&](const HeldTables& h) { return now >= h.until; });
   std::erase_if(s.key_rests, [&](const KeyRest& k) { return now >= k.until; });
   judge_engines(s, now);
   draw_pool(s);
@@ -674,7 +696,7 @@
       c.sends += 1;
       c.engine = c.want_engine;
       c.out = true;
-      c.withdrawn = c.waited = false;
+      c.withdrawn = c.waited = c.stuck = false;
       c.share_done = 0;
       c.sent_at = c.noted_at = now;
     } else if (c.want == Want::kWithdraw && c.out && !c.withdrawn) {
--- a/src/rules.h
+++ b/src/rules.h
@@ -165,7 +165,7 @@
   int sends = 0, engine = -1;
   Ms sent_at = 0, noted_at = 0;
   double share_done = 0;
-  bool waited = false;
+  bool waited = false, stuck = false;  // stood still at some time; stands still behind a load
   int withdrawals = 0;
   bool may_have_run = false;
   int risked_on = -1;  // the engine and time of the first send that may have run
@@ -195,6 +195,12 @@
   Ms until = 0;
 };
 
+struct HeldTables {
+  uint32_t engine = 0;
+  int64_t tables = -1;
+  Ms until = 0;
+};
+
 struct State {
   Pcg chance;
   std::vector<Profile> profiles;
@@ -205,7 +211,8 @@
   std::vector<int> live;         // places in the order taken
   std::vector<int> line, drawn;  // scratch
   std::vector<KeyRest> key_rests;
-  Moments taken, further;  // for the budget of further sends
+  std::vector<HeldTables> held_tables;  // by loads, as waiting sends have told
+  Moments taken, further;               // for the budget of further sends
   std::vector<Ms> recent_costs, sorted_costs;
   size_t recent_next = 0;
   Ms heavy_from = 0;
@@ -238,6 +245,7 @@
 void review_out(State& s, Ms now);
 void review_line(State& s, Ms now);
 bool may_send(const State& s, const Command& c, const Engine& e, Ms now);
+bool stands_still(const State& s, const Command& c, const Engine& e);
 bool has_turn(const State& s, const Command& c, Ms now);
 bool budget_left(State& s, Ms now);
 Ms cold_room(const State& s, Engine& e, Ms now);
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -298,6 +298,21 @@
   EXPECT_EQ(c.want, Want::kWithdraw);
 }
 
+TEST(Tables, ReadersAvoidAnEngineWhereALoadHoldsThem) {
+  Profile reader = profile(Effect::kReplayable), load = profile(Effect::kNonReplayable);
+  reader.waits = load.is_load = true;
+  State s = state_with(2, {reader, load});
+  put_out(s, add_command(s, 1), 0, 0);
+  Command& c = add_command(s);
+  s.slab[0].asked.tables = c.asked.tables = 3;
+  EXPECT_EQ(choose(s, c, 10), 1);
+  put_out(s, c, 1, 10);
+  hear(s, 500, Note{c.asked.id, 0, NoteKind::kWaits, 2});  // a load of some other gateway
+  review_out(s, 500);
+  EXPECT_EQ(c.want, Want::kWithdraw);
+  EXPECT_TRUE(stands_still(s, c, s.engines[1]));
+}
+
 TEST(Level, CutWhenCrowdedAndRaisedWhenItBinds) {
   State s = state_with(2, {profile(Effect::kReplayable)});
   s.engines[0].stretch = 2.5;
