Level by the worse of two means of stretch, by commands and by work

Cause: without priorities short commands are the first to feel a crowd (memory line), with them the last.

--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -163,13 +163,14 @@
   }
   Engine& e = s.engines[c.engine];
   const Ms by_itself = r.work > 0 ? r.work / p.threads : c.alone;
-  // Weighed by work where it is told: short commands of high priority glide past a crowd that holds up all
-  // others. A guessed work only adds noise to the weight.
-  const double told = r.work / std::max(1.0, s.all_work * (1 - kWorkFade));
-  const double weight = kStretchLearn * (r.work > 0 ? told : 1);
-  if (!c.waited)
-    blend(e.stretch, std::min(r.took / std::max(by_itself, 1.0), kStretchMost),
-          std::min(weight, kStretchJump));
+  // Two means: short commands of high priority glide past a crowd that holds up all others, and where no
+  // priority is heeded they are the first to feel one. Work that is only guessed adds noise to the weight.
+  if (!c.waited) {
+    const double stretch = std::min(r.took / std::max(by_itself, 1.0), kStretchMost);
+    const double weight = kStretchLearn * r.work / std::max(1.0, s.all_work * (1 - kWorkFade));
+    blend(e.stretch, stretch, kStretchLearn);
+    if (r.work > 0) blend(e.work_stretch, stretch, std::min(weight, kStretchJump));
+  }
   e.tables[static_cast<size_t>(c.sends + c.taken_at) % e.tables.size()] = c.asked.tables;
 }
 
@@ -429,10 +430,11 @@
     e.doubted = doubted;
     // The level: down while its sends crowd each other, up while it binds and they do not.
     const double least = kLevelLeast * e.cores / s.gateways;
-    if (e.stretch > kStretchHigh && now - e.limit_moved_at > kLevelCutWait) {
+    const double crowding = std::max(e.stretch, e.work_stretch);
+    if (crowding > kStretchHigh && now - e.limit_moved_at > kLevelCutWait) {
       e.limit *= kLevelCut;
       e.limit_moved_at = now;
-    } else if (e.stretch < kStretchLow && e.limit_met && now - e.limit_moved_at > kLevelRaiseWait) {
+    } else if (crowding < kStretchLow && e.limit_met && now - e.limit_moved_at > kLevelRaiseWait) {
       e.limit += 1;
       e.limit_moved_at = now;
     }
--- a/src/rules.h
+++ b/src/rules.h
@@ -140,7 +140,8 @@
   int trials = 0;        // in a row without success
   // Its level:
   double limit = 0;    // threads that this gateway runs there at once
-  double stretch = 0;  // recent time over time alone
+  double stretch = 0;       // recent time over time alone, mean of commands
+  double work_stretch = 0;  // the same, mean over their work
   bool limit_met = false;
   Ms limit_moved_at = 0;
   // Its warmth:
