--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -551,8 +551,12 @@
   const Profile& p = profile_of(s, c);
   const bool is_short = p.threads == 1 && !c.heavy;
   const bool trial_fits = p.effect == Effect::kReplayable && is_short;
+  bool usable = false, crowded = true;  // the first choice: an engine that works; all over their cores
   for (const bool pool : {c.heavy, !c.heavy}) {
     s.drawn.clear();
+    // Heavy commands overflow as the design says. Light ones use spare room in the pool, save those that
+    // would stand still behind its loads: these only where no light engine works.
+    if (pool != c.heavy && usable && (c.heavy ? !crowded : p.waits || s.heavy_waits)) break;
     for (size_t i = 0; i < s.engines.size(); ++i) {
       Engine& e = s.engines[i];
       if (e.in_pool != pool || !may_send(s, c, e, now)) continue;
@@ -563,6 +567,8 @@
         }
         continue;
       }
+      usable = true;
+      crowded &= e.threads_out > e.cores;
       const double limit = e.limit * (is_short ? kShortExtra : 1);
       if (e.threads_out > 0 && e.threads_out + p.threads > limit) {
         e.limit_met = true;
@@ -722,6 +728,14 @@
     return true;
   });
   for (Engine& e : s.engines) {
+    if (e.doubted != e.told) {
+      Action& a = out.emplace_back();
+      a.text = "engine " + std::to_string(e.id) +
+               (!e.doubted ? ": trusted again"
+                : e.silent ? ": silent"
+                           : ": failing or slow");
+      e.told = e.doubted;
+    }
     if (!e.want_probe || e.probing || !s.may_probe) continue;
     Action& a = out.emplace_back();
     a.kind = Action::Kind::kProbe;
--- a/src/rules.h
+++ b/src/rules.h
@@ -136,10 +136,11 @@
   Ms sign_at = 0;        // last sign of life
   bool doubted = false;  // gets one trial at a time
   bool silent = false;   // and owes a sign of life
+  bool told = false;     // the doubt as last logged
   Ms trial_at = 0;       // the next trial, or probe
   int trials = 0;        // in a row without success
   // Its level:
-  double limit = 0;    // threads that this gateway runs there at once
+  double limit = 0;         // threads that this gateway runs there at once
   double stretch = 0;       // recent time over time alone, mean of commands
   double work_stretch = 0;  // the same, mean over their work
   bool limit_met = false;
@@ -220,6 +221,7 @@
   double heavy_work = 0, all_work = 0;  // fading sums of predicted work
   double pool_sends = 0, pool_bad = 0;  // fading counts
   Ms pool_counted_at = 0;
+  bool heavy_waits = false;  // some heavy command found no room in the pool
   Ms bell_at = 0, want_bell = 0;
   // Read from the articles once, since every command needs them:
   std::string zone;
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -236,6 +236,18 @@
   EXPECT_NE(choose(s, c, 10), 2);
 }
 
+TEST(Design, ReadersOfHeldTablesStayOffThePoolWhileALightEngineWorks) {
+  State s = state_with(2, {profile(Effect::kReplayable)});
+  s.profiles[0].waits = true;
+  Command& c = add_command(s);
+  s.engines[1].in_pool = true;
+  s.engines[0].threads_out = 30;
+  EXPECT_EQ(choose(s, c, 10), -1);
+  s.engines[0].doubted = true;
+  s.engines[0].trial_at = 20;
+  EXPECT_EQ(choose(s, c, 10), 1);
+}
+
 TEST(Design, PoolIsAZoneOfTwoOrElseTheLastById) {
   State s = state_with(4, {profile(Effect::kReplayable)});
   draw_pool(s);
