Heavy commands run at the usual priority

Held back in line, they should end soon once let in: at 1 of 1:4:8:16 loads crawled past their target.

--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -73,6 +73,8 @@
 constexpr double kCapacity = 0.85;    // of the cores: the bench's and the operators' meaning of capacity
 constexpr double kSilentCold = 3000;  // ms of silence after which an engine may have started anew
 // Terms
+constexpr int kRankShort = 3;            // short commands first where cores or disks are short
+constexpr int kRankOther = 1;            // the default: the rest are held back in line, not on the engine
 constexpr double kGrantMargin = 1.15;  // over the predicted memory: short of it a command spills
 constexpr double kWarmTables = 0.85;   // of the work: what tables seen lately save
 
@@ -654,7 +656,7 @@
     if (c.sends > 0) s.further.add(now);  // here, so that the next in line sees it
     c.want = Want::kOut;
     c.want_engine = i;
-    c.want_rank = c.heavy ? 0 : p.threads == 1 ? 3 : 1;
+    c.want_rank = p.threads == 1 && !c.heavy ? kRankShort : kRankOther;
     const double memory = c.asked.memory_mb * (p.memory_correction > 0 ? p.memory_correction : 1);
     c.want_grant_mb = s.grants ? memory * kGrantMargin : 0;
     Engine& e = s.engines[i];
