--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -73,8 +73,8 @@
 constexpr double kCapacity = 0.85;    // of the cores: the bench's and the operators' meaning of capacity
 constexpr double kSilentCold = 3000;  // ms of silence after which an engine may have started anew
 // Terms
-constexpr int kRankShort = 3;            // short commands first where cores or disks are short
-constexpr int kRankOther = 1;            // the default: the rest are held back in line, not on the engine
+constexpr int kRankShort = 3;          // short commands first where cores or disks are short
+constexpr int kRankOther = 1;          // the default: the rest are held back in line, not on the engine
 constexpr double kGrantMargin = 1.15;  // over the predicted memory: short of it a command spills
 constexpr double kWarmTables = 0.85;   // of the work: what tables seen lately save
 
@@ -553,12 +553,15 @@
   const Profile& p = profile_of(s, c);
   const bool is_short = p.threads == 1 && !c.heavy;
   const bool trial_fits = p.effect == Effect::kReplayable && is_short;
+  const bool readers =
+      std::any_of(s.profiles.begin(), s.profiles.end(), [](const Profile& x) { return x.waits; });
   bool usable = false, crowded = true;  // the first choice: an engine that works; all over their cores
   for (const bool pool : {c.heavy, !c.heavy}) {
     s.drawn.clear();
     // Heavy commands overflow as the design says. Light ones use spare room in the pool, save those that
     // would stand still behind its loads: these only where no light engine works.
-    if (pool != c.heavy && usable && (c.heavy ? !crowded : p.waits || s.heavy_waits)) break;
+    if (pool != c.heavy && usable && (c.heavy ? p.is_load && readers && !crowded : p.waits || s.heavy_waits))
+      break;
     for (size_t i = 0; i < s.engines.size(); ++i) {
       Engine& e = s.engines[i];
       if (e.in_pool != pool || !may_send(s, c, e, now)) continue;
