--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -56,7 +56,7 @@
 constexpr double kStretchMost = 8;      // one sample tells no more
 constexpr double kLevelCut = 0.92;      // a step down
 constexpr Ms kLevelCutWait = 400;       // between steps down: the cut must show first
-constexpr Ms kLevelRaiseWait = 800;     // between steps up of one thread: at 200 the steps outran the cuts
+constexpr Ms kLevelRaiseWait = 2000;    // between steps up of one thread: at 200 and 800 the steps outran the cuts
 constexpr double kShortExtra = 1.25;    // times the limit for short commands, which free it soon
 // Line
 constexpr Ms kBeat = 20;          // between looks while commands are in hand: far under any target
