--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -56,8 +56,9 @@
 constexpr double kStretchMost = 8;      // one sample tells no more
 constexpr double kLevelCut = 0.92;      // a step down
 constexpr Ms kLevelCutWait = 400;       // between steps down: the cut must show first
-constexpr Ms kLevelRaiseWait = 2000;    // between steps up of one thread: at 200 and 800 the steps outran the cuts
-constexpr double kShortExtra = 1.25;    // times the limit for short commands, which free it soon
+constexpr Ms kLevelRaiseWait =
+    2000;  // between steps up of one thread: at 200 and 800 the steps outran the cuts
+constexpr double kShortExtra = 1.25;  // times the limit for short commands, which free it soon
 // Line
 constexpr Ms kBeat = 20;          // between looks while commands are in hand: far under any target
 constexpr Ms kEndSlack = 30;      // before the client gives up: a held command ends here at the latest
@@ -214,6 +215,7 @@
       e = &*s.engines.insert(at, Engine{});
       e->id = l.engine;
       e->cold_since = -1;
+      e->stretch = e->work_stretch = 1;
     }
     e->zone = l.zone;
     e->machine = l.machine;
@@ -323,7 +325,9 @@
   const Ms since = std::max(c.sent_at, e.sign_at);
   if (now - since < kSilence) return false;
   if (s.note_period > 0 && now - std::max(since, c.noted_at) > kNotesMissed * s.note_period) return true;
-  return now - since > kOverdue * c.alone * std::max(1.0, e.stretch);
+  // Guards against estimates far too low: few commands of a profile are much quicker than its mean.
+  const Profile& p = profile_of(s, c);
+  return now - since > kOverdue * std::max(c.alone, p.mean_cost / p.threads) * std::max(1.0, e.stretch);
 }
 
 }  // namespace
--- a/tests/helpers.h
+++ b/tests/helpers.h
@@ -40,6 +40,7 @@
     e.cores = 8;
     e.limit = 16;
     e.cold_since = -1;
+    e.stretch = e.work_stretch = 1;
     s.engines.push_back(e);
   }
   return s;
