Withdraw sends without a word of progress

Also catches lost answers and stuck connections; harms where estimates are far too low and further sends are rationed.

--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -65,6 +65,7 @@
 constexpr Ms kRepeatSlack = 200;  // off the window of uniqued commands, for the way there
 // Bad plan
 constexpr double kBadPlan = 4;       // times the predicted time: past the scatter of estimates
+constexpr double kBlind = 3;         // times the predicted and the usual time without a word of progress
 constexpr Ms kBadPlanLeast = 300;    // running time below which nothing is withdrawn
 constexpr int kWithdrawMost = 2;     // withdrawals before the estimate is blamed instead
 constexpr double kWaitsForLoad = 2;  // the note's word for standing still while a load holds the tables
@@ -610,14 +611,17 @@
     const Engine& e = s.engines[c.engine];
     const Ms ran = now - c.sent_at, left = c.asked.gives_up_at - now;
     const Ms again = c.alone * std::max(1.0, e.stretch);
+    const Ms usual = p.mean_cost / p.threads * std::max(1.0, e.stretch);
     if (p.effect != Effect::kReplayable || c.sends >= s.most_sends || left < again) continue;
     if (c.stuck || (e.silent && overdue(s, c, e, now))) {
       if (budget_left(s, now)) c.want = Want::kWithdraw;
       continue;
     }
     if (ran < kBadPlanLeast || c.withdrawals >= kWithdrawMost) continue;
-    const Ms whole = c.share_done > 0 ? (c.noted_at - c.sent_at) / c.share_done : ran;
-    if (whole > kBadPlan * again && whole - ran > again && budget_left(s, now)) {
+    const Ms whole = c.share_done > 0 ? (c.noted_at - c.sent_at) / c.share_done : 0;
+    // Without a word of progress the plan may be bad or the send swallowed by an engine that serves others.
+    const bool blind = c.share_done == 0 && !c.waited && ran > kBlind * std::max(again, usual);
+    if ((blind || (whole > kBadPlan * again && whole - ran > again)) && budget_left(s, now)) {
       c.want = Want::kWithdraw;
       c.withdrawals += 1;
     }
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -345,6 +345,17 @@
   EXPECT_GT(s.engines[1].limit, 16);
 }
 
+TEST(BadPlan, SendWithoutAWordIsWithdrawnThoughItsEngineServesOthers) {
+  State s = state_with(1, {profile(Effect::kReplayable)});
+  s.profiles[0].mean_cost = 100;
+  Command& c = add_command(s);
+  put_out(s, c, 0, 0);
+  s.engines[0].sign_at = 990;
+  review_out(s, 1000);
+  EXPECT_EQ(c.want, Want::kWithdraw);
+  EXPECT_FALSE(s.engines[0].silent);
+}
+
 TEST(Level, CrowdingShowsWhereAnswersTellNoCost) {
   State s = state_with(1, {profile(Effect::kReplayable)});
   s.profiles[0].base = 1;
