--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -65,7 +65,7 @@
 constexpr Ms kRepeatSlack = 200;  // off the window of uniqued commands, for the way there
 // Bad plan
 constexpr double kBadPlan = 4;       // times the predicted time: past the scatter of estimates
-constexpr double kBlind = 3;         // times the predicted and the usual time without a word of progress
+constexpr double kBlind = 4;         // times the predicted and the usual time without a word of progress
 constexpr Ms kBadPlanLeast = 300;    // running time below which nothing is withdrawn
 constexpr int kWithdrawMost = 2;     // withdrawals before the estimate is blamed instead
 constexpr double kWaitsForLoad = 2;  // the note's word for standing still while a load holds the tables
