--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -136,7 +136,7 @@
   const Ms base = c.asked.estimate > 0 ? c.asked.estimate : p.mean_work > 0 ? p.mean_work : kUnknownCost;
   c.cost = std::max(1.0, base * (c.asked.estimate > 0 && p.correction > 0 ? p.correction : 1));
   c.alone = (p.base > 0 ? base * p.base : c.cost) / p.threads;
-  blend(p.mean_cost, c.cost, kLearn);
+  blend(p.mean_cost, c.alone * p.threads, kLearn);
   if (s.recent_costs.size() < kRecent) {
     s.recent_costs.push_back(c.cost);
   } else {
@@ -539,6 +539,12 @@
   return inside && now + kRepeatSlack < c.risked_at + p.repeat_window;
 }
 
+// The part of its capacity that an engine has by now, by an even ramp from the stated cold share.
+double warmth(const State& s, const Engine& e, Ms now) {
+  if (e.cold_since < 0 || now - e.cold_since > s.warm_up) return 1;
+  return s.cold_share + (1 - s.cold_share) * (now - e.cold_since) / s.warm_up;
+}
+
 // Guards rule 4: how much work this gateway may still send to an engine within the stated window, its share
 // of what a ramp from the cold share allows. A burst right after the start spends the same budget.
 Ms cold_room(const State& s, Engine& e, Ms now) {
@@ -546,10 +552,10 @@
     e.cold_since = -1;
     return 1e12;
   }
+  const double warm = warmth(s, e, now);
   Ms spent = 0;
   std::erase_if(e.spent, [&](const auto& x) { return x.first < now - s.fall_window; });
   for (const auto& x : e.spent) spent += x.second;
-  const double warm = s.cold_share + (1 - s.cold_share) * (now - e.cold_since) / s.warm_up;
   return kColdPart * s.fall_multiple * warm * kCapacity * e.cores * s.fall_window / s.gateways - spent;
 }
 
@@ -579,7 +585,7 @@
       }
       usable = true;
       crowded &= e.threads_out > e.cores;
-      const double limit = e.limit * (is_short ? kShortExtra : 1);
+      const double limit = e.limit * warmth(s, e, now) * (is_short ? kShortExtra : 1);
       if (e.threads_out > 0 && e.threads_out + p.threads > limit) {
         e.limit_met = true;
         continue;
@@ -675,7 +681,7 @@
     e.threads_out += p.threads;
     e.work_out += c.cost;
     e.memory_out += c.want_grant_mb;
-    if (e.cold_since >= 0) e.spent.push_back({now, std::max(c.cost, p.mean_cost)});
+    if (e.cold_since >= 0) e.spent.push_back({now, p.mean_cost});
   }
 }
 
--- a/src/rules.h
+++ b/src/rules.h
@@ -251,6 +251,7 @@
 bool stands_still(const State& s, const Command& c, const Engine& e);
 bool has_turn(const State& s, const Command& c, Ms now);
 bool budget_left(State& s, Ms now);
+double warmth(const State& s, const Engine& e, Ms now);
 Ms cold_room(const State& s, Engine& e, Ms now);
 int choose(State& s, const Command& c, Ms now);
 
