--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -62,6 +62,7 @@
 // Line
 constexpr Ms kBeat = 20;          // between looks while commands are in hand: far under any target
 constexpr Ms kEndSlack = 30;      // before the client gives up: a held command ends here at the latest
+constexpr double kTryAnyway = 0.9;      // of its life: predictions err, so each command gets a first chance
 constexpr Ms kRepeatSlack = 200;  // off the window of uniqued commands, for the way there
 // Bad plan
 constexpr double kBadPlan = 4;       // times the predicted time: past the scatter of estimates
@@ -426,6 +427,7 @@
     if (e.life == Life::kReady && e.stretch > 0) s.sorted_costs.push_back(e.stretch);
   std::sort(s.sorted_costs.begin(), s.sorted_costs.end());
   const double median = s.sorted_costs.empty() ? 1 : std::max(1.0, s.sorted_costs[s.sorted_costs.size() / 2]);
+  s.usual_stretch = median;
   for (Engine& e : s.engines) {
     fade(e.tries, e.fails, e.counted_at, now);
     const bool failing = e.fails >= kFailLeast && e.fails >= kFailShare * e.tries;
@@ -656,8 +658,10 @@
   for (const int place : s.line) {
     Command& c = s.slab[place];
     const Profile& p = profile_of(s, c);
-    const bool hopeless =
-        now + std::min(c.alone, 0.9 * (c.asked.gives_up_at - c.taken_at)) > c.asked.gives_up_at - kEndSlack;
+    // Guards against work that the client will not wait for, as after a change to less patient clients.
+    const Ms expected = c.alone * s.usual_stretch;
+    const bool hopeless = now + std::min(expected, kTryAnyway * (c.asked.gives_up_at - c.taken_at)) >
+                          c.asked.gives_up_at - kEndSlack;
     const bool spent = c.sends >= s.most_sends || (c.may_have_run && p.effect == Effect::kNonReplayable);
     if (hopeless || spent) {
       end(s, c);
