--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -126,10 +126,6 @@
   return named(p.zones, e.zone) && named(p.machines, e.machine);
 }
 
-Ms target_of(const Profile& p, const Command& c, Ms alone) {
-  return c.taken_at + p.latency_target + p.target_stretch * alone;
-}
-
 bool never_ran(Outcome o) {
   return o == Outcome::kFull || o == Outcome::kConnectFailed || o == Outcome::kMoot;
 }
@@ -152,7 +148,7 @@
   s.heavy_work = s.heavy_work * kWorkFade + (c.heavy ? c.cost : 0);
 }
 
-void learn(State& s, Ms now, const Command& c, const Settled& r) {
+void learn(State& s, const Command& c, const Settled& r) {
   Profile& p = profile_of(s, c);
   const Ms work = r.work > 0 ? r.work : r.took * p.threads;
   blend(p.mean_work, work, kLearn);
@@ -170,7 +166,6 @@
       p.window_sum = p.window_count = 0;
     }
   }
-  if (now <= target_of(p, c, c.alone)) p.won += 1;
   Engine& e = s.engines[c.engine];
   const Ms by_itself = r.work > 0 ? r.work / p.threads : c.alone;
   // Two means: short commands of high priority glide past a crowd that holds up all others, and where no
@@ -200,13 +195,6 @@
   e.spent.clear();
 }
 
-void fade(double& a, double& b, Ms& counted_at, Ms now) {
-  const double left = std::exp(-(now - counted_at) / kFailWindow);
-  a *= left;
-  b *= left;
-  counted_at = now;
-}
-
 // ---- Events -------------------------------------------------------------------------------------
 
 void hear_roster(State& s, Ms now, const Roster& r) {
@@ -261,9 +249,6 @@
   c.taken_at = c.held_since = now;
   s.live.push_back(place);
   s.taken.add(now);
-  Profile& p = s.profiles[t.profile];
-  fade(p.asked, p.won, p.counted_at, now);
-  p.asked += 1;
   predict(s, c);
 }
 
@@ -280,6 +265,13 @@
   }
 }
 
+void fade(double& a, double& b, Ms& counted_at, Ms now) {
+  const double left = std::exp(-(now - counted_at) / kFailWindow);
+  a *= left;
+  b *= left;
+  counted_at = now;
+}
+
 void hear_settled(State& s, Ms now, const Settled& r) {
   Command* found = command_of(s, r.id);
   if (!found || !found->out || r.send != found->sends - 1) return;
@@ -306,7 +298,7 @@
     if (e.silent && now - e.sign_at > kSilentCold) start_cold(e, now);
     e.silent = false;
     e.trials = 0;
-    learn(s, now, c, r);
+    learn(s, c, r);
   }
   if (r.outcome == Outcome::kOk || r.outcome == Outcome::kFailed || r.outcome == Outcome::kFull)
     e.sign_at = now;
@@ -378,7 +370,6 @@
   s.may_probe = number(a, "may probe") > 0;
   s.ranks = number(a, "priorities heeded") > 0;
   s.grants = number(a, "grants heeded") > 0;
-  s.worst_weight = number(a, "goal worst profile") / std::max(0.01, number(a, "goal whole", 1));
   s.budgeted = a.count("further sends share") > 0 || a.count("further sends free") > 0;
   s.budget_free = number(a, "further sends free");
   s.budget_share = number(a, "further sends share");
@@ -653,19 +644,14 @@
     if (!c.ended && !c.out && c.want == Want::kHold) s.line.push_back(place);
   }
   if (s.line.empty()) return;
-  // Where the users' goal weighs the worst-served profile by itself, a command of it counts for that, too.
-  double all_asked = 0;
-  const Profile* worst = nullptr;
-  for (const Profile& p : s.profiles) {
-    all_asked += p.asked * p.benefit;
-    if (p.asked > 1 && (!worst || p.won * worst->asked < worst->won * p.asked)) worst = &p;
-  }
+  const auto late = [&](const Command& c) {
+    const Profile& p = profile_of(s, c);
+    return now + c.alone > c.taken_at + p.latency_target + p.target_stretch * c.alone;
+  };
   const auto worth = [&](int place) {
     const Command& c = s.slab[place];
     const Profile& p = profile_of(s, c);
-    const bool late = now + c.alone > target_of(p, c, c.alone);
-    const double rare = &p == worst ? 1 + s.worst_weight * all_asked / (p.asked * p.benefit) : 1;
-    return p.benefit * (late ? p.late_share : 1) * rare / c.cost;
+    return p.benefit * (late(c) ? p.late_share : 1) / c.cost;
   };
   std::stable_sort(s.line.begin(), s.line.end(), [&](int a, int b) { return worth(a) > worth(b); });
   const bool pool_overloaded = s.pool_sends >= kPoolSendsLeast && s.pool_bad >= kPoolBadShare * s.pool_sends;
--- a/src/rules.h
+++ b/src/rules.h
@@ -114,8 +114,6 @@
   double memory_correction = 0;  // the same for memory
   Ms mean_cost = 0;              // running mean of predicted cost
   Ms mean_work = 0;              // running mean of true cost, for commands that carry no estimate
-  double asked = 0, won = 0;  // fading counts of commands taken, and answered in time
-  Ms counted_at = 0;
   double base = 0;  // of latency x threads to the estimate, in the quickest stretch so far: uncrowded
   double window_sum = 0;
   int window_count = 0;
@@ -232,7 +230,6 @@
   int most_sends = 0;
   bool may_cancel = false, may_probe = false, ranks = false, grants = false;
   bool budgeted = false;
-  double worst_weight = 0;  // of the worst-served profile against the whole
   double budget_free = 0, budget_share = 0;
   Ms budget_window = 0, key_rest = 0, note_period = 0;
   Ms warm_up = 0, fall_window = 0, shed_advice = 0;
