--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -60,10 +60,10 @@
     2000;  // between steps up of one thread: at 200 and 800 the steps outran the cuts
 constexpr double kShortExtra = 1.25;  // times the limit for short commands, which free it soon
 // Line
-constexpr Ms kBeat = 20;          // between looks while commands are in hand: far under any target
-constexpr Ms kEndSlack = 30;      // before the client gives up: a held command ends here at the latest
-constexpr double kTryAnyway = 0.9;      // of its life: predictions err, so each command gets a first chance
-constexpr Ms kRepeatSlack = 200;  // off the window of uniqued commands, for the way there
+constexpr Ms kBeat = 20;            // between looks while commands are in hand: far under any target
+constexpr Ms kEndSlack = 30;        // before the client gives up: a held command ends here at the latest
+constexpr double kTryAnyway = 0.9;  // of its life: predictions err, so each command gets a first chance
+constexpr Ms kRepeatSlack = 200;    // off the window of uniqued commands, for the way there
 // Bad plan
 constexpr double kBadPlan = 4;       // times the predicted time: past the scatter of estimates
 constexpr double kBlind = 4;         // times the predicted and the usual time without a word of progress
--- a/src/rules.h
+++ b/src/rules.h
@@ -218,7 +218,7 @@
   std::vector<Ms> recent_costs, sorted_costs;
   size_t recent_next = 0;
   Ms heavy_from = 0;
-  double usual_stretch = 1;  // the median of the engines
+  double usual_stretch = 1;             // the median of the engines
   double heavy_work = 0, all_work = 0;  // fading sums of predicted work
   double pool_sends = 0, pool_bad = 0;  // fading counts
   Ms pool_counted_at = 0;
