--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -625,7 +625,7 @@
     const bool movable = replayable || (p.effect == Effect::kUniqued && p.group == Group::kAll &&
                                         now + kRepeatSlack < risked_at + p.repeat_window);
     if (!movable || c.sends >= s.most_sends || left < again) continue;
-    if (c.stuck || (e.silent && overdue(s, c, e, now))) {
+    if ((c.stuck && replayable) || (e.silent && overdue(s, c, e, now))) {
       if (budget_left(s, now)) c.want = Want::kWithdraw;
       continue;
     }
