--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -620,16 +620,12 @@
     const Ms ran = now - c.sent_at, left = c.asked.gives_up_at - now;
     const Ms again = c.alone * std::max(1.0, e.stretch);
     const Ms usual = p.mean_cost / p.threads * std::max(1.0, e.stretch);
-    const bool replayable = p.effect == Effect::kReplayable;
-    const Ms risked_at = c.may_have_run ? c.risked_at : c.sent_at;
-    const bool movable = replayable || (p.effect == Effect::kUniqued && p.group == Group::kAll &&
-                                        now + kRepeatSlack < risked_at + p.repeat_window);
-    if (!movable || c.sends >= s.most_sends || left < again) continue;
-    if ((c.stuck && replayable) || (e.silent && overdue(s, c, e, now))) {
+    if (p.effect != Effect::kReplayable || c.sends >= s.most_sends || left < again) continue;
+    if (c.stuck || (e.silent && overdue(s, c, e, now))) {
       if (budget_left(s, now)) c.want = Want::kWithdraw;
       continue;
     }
-    if (!replayable || ran < kBadPlanLeast || c.withdrawals >= kWithdrawMost) continue;
+    if (ran < kBadPlanLeast || c.withdrawals >= kWithdrawMost) continue;
     const Ms whole = c.share_done > 0 ? (c.noted_at - c.sent_at) / c.share_done : 0;
     // Without a word of progress the plan may be bad or the send swallowed by an engine that serves others.
     const bool blind = c.share_done == 0 && !c.waited && ran > kBlind * std::max(again, usual);
