--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -57,7 +57,8 @@
 constexpr double kLevelCut = 0.92;      // a step down
 constexpr Ms kLevelCutWait = 400;       // between steps down: the cut must show first
 constexpr Ms kLevelRaiseWait =
-    2000;  // between steps up of one thread: at 200 and 800 the steps outran the cuts
+    2000;                      // between steps up of one thread: at 200 and 800 the steps outran the cuts
+constexpr Ms kFullRest = 250;  // after 'full': some commands end there within it
 constexpr double kShortExtra = 1.25;  // times the limit for short commands, which free it soon
 // Line
 constexpr Ms kBeat = 20;            // between looks while commands are in hand: far under any target
@@ -302,7 +303,10 @@
   }
   if (r.outcome == Outcome::kOk || r.outcome == Outcome::kFailed || r.outcome == Outcome::kFull)
     e.sign_at = now;
-  if (r.outcome == Outcome::kFull) e.limit = std::max(1.0, e.limit * kLevelCut);
+  if (r.outcome == Outcome::kFull) {
+    e.limit = std::max(1.0, e.limit * kLevelCut);
+    e.closed_until = now + kFullRest;  // guards against spending every further send on one closed door
+  }
   if (!never_ran(r.outcome) && !c.may_have_run) {
     c.may_have_run = true;
     c.risked_on = c.engine;
@@ -577,7 +581,7 @@
       break;
     for (size_t i = 0; i < s.engines.size(); ++i) {
       Engine& e = s.engines[i];
-      if (e.in_pool != pool || !may_send(s, c, e, now)) continue;
+      if (e.in_pool != pool || now < e.closed_until || !may_send(s, c, e, now)) continue;
       if (e.doubted) {
         if (trial_fits && e.sends_out == 0 && now >= e.trial_at && c.sends == 0) {
           e.trial_at = now + std::min(kTrialMost, kTrialFirst * (1 << std::min(e.trials++, 4)));
--- a/src/rules.h
+++ b/src/rules.h
@@ -145,6 +145,7 @@
   double work_stretch = 0;  // the same, mean over their work
   bool limit_met = false;
   Ms limit_moved_at = 0;
+  Ms closed_until = 0;  // it turned a send away
   // Its warmth:
   Ms cold_since = 0;                     // below 0: warm
   std::vector<std::pair<Ms, Ms>> spent;  // while cold: when and how much work was sent
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -356,6 +356,15 @@
   EXPECT_FALSE(s.engines[0].silent);
 }
 
+TEST(Level, FullEngineIsLeftAloneForAMoment) {
+  State s = state_with(1, {profile(Effect::kReplayable)});
+  Command& c = add_command(s);
+  put_out(s, c, 0, 0);
+  hear(s, 100, settled(c, Outcome::kFull));
+  EXPECT_EQ(choose(s, c, 101), -1);
+  EXPECT_EQ(choose(s, c, 1000), 0);
+}
+
 TEST(Level, CrowdingShowsWhereAnswersTellNoCost) {
   State s = state_with(1, {profile(Effect::kReplayable)});
   s.profiles[0].base = 1;
