--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -356,6 +356,15 @@
   EXPECT_FALSE(s.engines[0].silent);
 }
 
+TEST(Level, NotesOfASlowPaceTellACrowdBeforeAnyOutcome) {
+  State s = state_with(1, {profile(Effect::kNonReplayable)});
+  Command& c = add_command(s);
+  put_out(s, c, 0, 0);
+  for (int i = 1; i < 50; ++i) hear(s, i * 300.0, Note{c.asked.id, 0, NoteKind::kProgress, i * 0.02});
+  judge_engines(s, 15000);
+  EXPECT_LT(s.engines[0].limit, 16);
+}
+
 TEST(Level, FullEngineIsLeftAloneForAMoment) {
   State s = state_with(1, {profile(Effect::kReplayable)});
   Command& c = add_command(s);
