--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -175,7 +175,13 @@
     const double stretch = std::min(r.took / std::max(by_itself, 1.0), kStretchMost);
     const double weight = kStretchLearn * r.work / std::max(1.0, s.all_work * (1 - kWorkFade));
     blend(e.stretch, stretch, kStretchLearn);
-    if (r.work > 0) blend(e.work_stretch, stretch, std::min(weight, kStretchJump));
+    // Notes come from the commands that last: their quicker kin must count, too, or a level once cut stays
+    // cut.
+    if (r.work > 0) {
+      blend(e.work_stretch, stretch, std::min(weight, kStretchJump));
+    } else if (p.threads > 1) {
+      blend(e.work_stretch, stretch, kStretchLearn);
+    }
   }
   e.tables[static_cast<size_t>(c.sends + c.taken_at) % e.tables.size()] = c.asked.tables;
 }
