--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -264,14 +264,14 @@
   if (!c || !c->out || n.send != c->sends - 1) return;
   s.engines[c->engine].sign_at = now;
   c->noted_at = now;
+  if (n.kind == NoteKind::kProgress) c->share_done = n.value;
   // Guards against a crowd of long commands that shows in no outcome for as long as they run. A pace far off
-  // the engine's own is more likely a bad plan. One sample a send: those that last would outvote the others.
-  if (n.kind == NoteKind::kProgress && n.value > 0 && c->share_done == 0 && !c->waited) {
+  // the engine's own is more likely a bad plan.
+  if (n.kind == NoteKind::kProgress && n.value > 0 && !c->waited) {
     double& pace = s.engines[c->engine].work_stretch;
     const double seen = (now - c->sent_at) / (n.value * std::max(1.0, c->alone));
     blend(pace, std::min({seen, kStretchMost, kBadPlan * pace}), kStretchLearn);
   }
-  if (n.kind == NoteKind::kProgress) c->share_done = n.value;
   if (n.kind == NoteKind::kWaits) c->waited = true;
   if (n.kind == NoteKind::kWaits && n.value == kWaitsForLoad && !stands_still(s, *c, s.engines[c->engine])) {
     s.held_tables.push_back({s.engines[c->engine].id, c->asked.tables, now + kTablesHeld});
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -358,10 +358,9 @@
 
 TEST(Level, NotesOfASlowPaceTellACrowdBeforeAnyOutcome) {
   State s = state_with(1, {profile(Effect::kNonReplayable)});
-  for (int i = 0; i < 20; ++i) {
-    put_out(s, add_command(s), 0, 0);
-    hear(s, 2000, Note{id_of(i), 0, NoteKind::kProgress, 0.1});
-  }
+  Command& c = add_command(s);
+  put_out(s, c, 0, 0);
+  for (int i = 1; i < 50; ++i) hear(s, i * 300.0, Note{c.asked.id, 0, NoteKind::kProgress, i * 0.02});
   judge_engines(s, 15000);
   EXPECT_LT(s.engines[0].limit, 16);
 }
