--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -585,6 +585,7 @@
   const bool trial_fits = p.effect == Effect::kReplayable && is_short;
   const bool readers =
       std::any_of(s.profiles.begin(), s.profiles.end(), [](const Profile& x) { return x.waits; });
+  const bool held_long = now - c.held_since > kHeavyHold;
   bool usable = false, crowded = true;  // the first choice: an engine that works; all over their cores
   for (const bool pool : {c.heavy, !c.heavy}) {
     s.drawn.clear();
