--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -589,9 +589,12 @@
   bool usable = false, crowded = true;  // the first choice: an engine that works; all over their cores
   for (const bool pool : {c.heavy, !c.heavy}) {
     s.drawn.clear();
-    // Heavy commands overflow as the design says. Light ones use spare room in the pool, save those that
-    // would stand still behind its loads: these only where no light engine works.
-    if (pool != c.heavy && usable && (c.heavy ? p.is_load && readers && !crowded : p.waits || s.heavy_waits))
+    // Loads that readers would stand still behind overflow when every pool engine is over its cores, as the
+    // design says, or once held as long as heavy commands are; other heavy ones when the pool's level is
+    // reached. Light ones use room in the pool that no heavy one waits for, save those that would stand still
+    // behind its loads: these only where no light engine works.
+    if (pool != c.heavy && usable &&
+        (c.heavy ? p.is_load && readers && !crowded && !held_long : p.waits || s.heavy_waits))
       break;
     for (size_t i = 0; i < s.engines.size(); ++i) {
       Engine& e = s.engines[i];
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -248,6 +248,17 @@
   EXPECT_EQ(choose(s, c, 10), 1);
 }
 
+TEST(Design, LoadsThatReadersWaitBehindOverflowOnceHeldForLong) {
+  State s = state_with(2, {profile(Effect::kReplayable), profile(Effect::kNonReplayable)});
+  s.profiles[0].waits = s.profiles[1].is_load = true;
+  Command& load = add_command(s, 1);
+  load.heavy = s.engines[1].in_pool = true;
+  s.engines[1].threads_out = 8;
+  s.engines[1].limit = 4;
+  EXPECT_EQ(choose(s, load, 500), -1);
+  EXPECT_EQ(choose(s, load, 1500), 0);
+}
+
 TEST(Design, PoolIsAZoneOfTwoOrElseTheLastById) {
   State s = state_with(4, {profile(Effect::kReplayable)});
   draw_pool(s);
