--- a/src/drill/wire.cpp
+++ b/src/drill/wire.cpp
@@ -405,9 +405,6 @@
     case Action::Kind::kBell:
       begin("SET_ALARM"), whole("wait", to_ns(a.wait)), whole("ref", a.number);
       break;
-    case Action::Kind::kProbe:
-      begin("TEST"), whole("engine", a.engine);
-      break;
     case Action::Kind::kLog:
       begin("SAY_LOG"), reply_.append(",\"line\":"), append_text(reply_, a.text);
       break;
--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -296,7 +296,6 @@
   e.sends_out -= 1;
   e.threads_out -= p.threads;
   e.work_out = std::max(0.0, e.work_out - c.cost);
-  e.memory_out = std::max(0.0, e.memory_out - c.grant_mb);
   fade(e.tries, e.fails, e.counted_at, now);
   fade(s.pool_sends, s.pool_bad, s.pool_counted_at, now);
   const bool lost =
@@ -384,7 +383,6 @@
   s.gateways = std::max(1.0, number(a, "gateways", 1));
   s.most_sends = static_cast<int>(number(a, "sends at most", 1));
   s.may_cancel = number(a, "may cancel") > 0;
-  s.may_probe = number(a, "may probe") > 0;
   s.ranks = number(a, "priorities heeded") > 0;
   s.grants = number(a, "grants heeded") > 0;
   s.budgeted = a.count("further sends share") > 0 || a.count("further sends free") > 0;
@@ -591,10 +589,9 @@
     s.drawn.clear();
     // Loads that readers would stand still behind overflow when every pool engine is over its cores, as the
     // design says, or once held as long as heavy commands are; other heavy ones when the pool's level is
-    // reached. Light ones use room in the pool that no heavy one waits for, save those that would stand still
-    // behind its loads: these only where no light engine works.
-    if (pool != c.heavy && usable &&
-        (c.heavy ? p.is_load && readers && !crowded && !held_long : p.waits || s.heavy_waits))
+    // reached. Light ones use spare room in the pool, save those that would stand still behind its loads:
+    // these only where no light engine works.
+    if (pool != c.heavy && usable && (c.heavy ? p.is_load && readers && !crowded && !held_long : p.waits))
       break;
     for (size_t i = 0; i < s.engines.size(); ++i) {
       Engine& e = s.engines[i];
@@ -705,7 +702,6 @@
     e.sends_out += 1;
     e.threads_out += p.threads;
     e.work_out += c.cost;
-    e.memory_out += c.want_grant_mb;
     if (e.cold_since >= 0) e.spent.push_back({now, p.mean_cost});
   }
 }
@@ -780,11 +776,6 @@
                            : ": failing or slow");
       e.told = e.doubted;
     }
-    if (!e.want_probe || e.probing || !s.may_probe) continue;
-    Action& a = out.emplace_back();
-    a.kind = Action::Kind::kProbe;
-    a.engine = e.id;
-    e.probing = true;
   }
   if (s.want_bell > 0 && s.bell_at == 0) {
     Action& a = out.emplace_back();
--- a/src/rules.h
+++ b/src/rules.h
@@ -82,7 +82,7 @@
 // ---- Actions ------------------------------------------------------------------------------------
 
 struct Action {
-  enum class Kind { kSend, kWithdraw, kShed, kFail, kRank, kBell, kProbe, kLog };
+  enum class Kind { kSend, kWithdraw, kShed, kFail, kRank, kBell, kLog };
   Kind kind = Kind::kLog;
   CommandId id;
   uint32_t engine = 0;
@@ -129,7 +129,6 @@
   // This gateway's own sends there:
   int sends_out = 0, threads_out = 0;
   Ms work_out = 0;
-  double memory_out = 0;
   // Its health as seen from here:
   double tries = 0, fails = 0;  // fading counts
   Ms counted_at = 0;
@@ -150,8 +149,6 @@
   Ms cold_since = 0;                     // below 0: warm
   std::vector<std::pair<Ms, Ms>> spent;  // while cold: when and how much work was sent
   std::array<int64_t, 4> tables{-1, -1, -1, -1};
-  bool want_probe = false;
-  bool probing = false;
 };
 
 enum class Want { kHold, kOut, kWithdraw, kShed, kFail };
@@ -223,13 +220,12 @@
   double heavy_work = 0, all_work = 0;  // fading sums of predicted work
   double pool_sends = 0, pool_bad = 0;  // fading counts
   Ms pool_counted_at = 0;
-  bool heavy_waits = false;  // some heavy command found no room in the pool
   Ms bell_at = 0, want_bell = 0;
   // Read from the articles once, since every command needs them:
   std::string zone;
   double gateways = 1;
   int most_sends = 0;
-  bool may_cancel = false, may_probe = false, ranks = false, grants = false;
+  bool may_cancel = false, ranks = false, grants = false;
   bool budgeted = false;
   double budget_free = 0, budget_share = 0;
   Ms budget_window = 0, key_rest = 0, note_period = 0;
