--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -49,8 +49,8 @@
 constexpr double kLevelStart = 1.5;     // threads a core, all gateways together: near where work done peaks
 constexpr double kLevelLeast = 1.0;     // threads a core: all cores busy, never less
 constexpr double kLevelMost = 4;        // threads a core: past any useful level
-constexpr double kStretchHigh = 1.7;    // time over time alone: cores or disks are crowded
-constexpr double kStretchLow = 1.4;     // below this there is room for more
+constexpr double kStretchHigh = 1.9;    // time over time alone: cores or disks are crowded
+constexpr double kStretchLow = 1.5;     // below this there is room for more
 constexpr double kStretchLearn = 0.08;  // share of a new outcome: follows within a dozen
 constexpr double kStretchJump = 0.4;    // share of one outcome at most, however much work it was
 constexpr double kStretchMost = 8;      // one sample tells no more
@@ -105,11 +105,6 @@
   mean = mean == 0 ? sample : mean + share * (sample - mean);
 }
 
-// A mean of ratios whose scatter is wide: in logarithms, so that the few largest do not make it.
-void blend_ratio(double& mean, double sample, double share) {
-  mean *= std::pow(std::max(sample, 1 / kRatioMost) / mean, share);
-}
-
 Profile& profile_of(State& s, const Command& c) { return s.profiles[c.asked.profile]; }
 const Profile& profile_of(const State& s, const Command& c) { return s.profiles[c.asked.profile]; }
 
@@ -165,9 +160,9 @@
   // Guards against calling a crowd normal: where the answer tells no cost, latency stands in for it, and its
   // mean rises with the crowding that it should show. The quickest stretch of outcomes is the yardstick.
   if (r.work <= 0 && c.asked.estimate > 0) {
-    p.window_sum += std::log(std::clamp(work / c.asked.estimate, 1 / kRatioMost, kRatioMost));
+    p.window_sum += std::min(work / c.asked.estimate, kRatioMost);
     if (++p.window_count == kBaseWindow) {
-      const double mean = std::exp(p.window_sum / kBaseWindow);
+      const double mean = p.window_sum / kBaseWindow;
       p.base = p.base > 0 ? std::min(mean, p.base * kBaseDrift) : mean;
       p.window_sum = p.window_count = 0;
     }
@@ -179,13 +174,13 @@
   if (!c.waited) {
     const double stretch = std::min(r.took / std::max(by_itself, 1.0), kStretchMost);
     const double weight = kStretchLearn * r.work / std::max(1.0, s.all_work * (1 - kWorkFade));
-    blend_ratio(e.stretch, stretch, kStretchLearn);
+    blend(e.stretch, stretch, kStretchLearn);
     // Notes come from the commands that last: their quicker kin must count, too, or a level once cut stays
     // cut.
     if (r.work > 0) {
-      blend_ratio(e.work_stretch, stretch, std::min(weight, kStretchJump));
+      blend(e.work_stretch, stretch, std::min(weight, kStretchJump));
     } else if (p.threads > 1) {
-      blend_ratio(e.work_stretch, stretch, kStretchLearn);
+      blend(e.work_stretch, stretch, kStretchLearn);
     }
   }
   e.tables[static_cast<size_t>(c.sends + c.taken_at) % e.tables.size()] = c.asked.tables;
@@ -275,7 +270,7 @@
   if (n.kind == NoteKind::kProgress && n.value > 0 && !c->waited) {
     double& pace = s.engines[c->engine].work_stretch;
     const double seen = (now - c->sent_at) / (n.value * std::max(1.0, c->alone));
-    blend_ratio(pace, std::min({seen, kStretchMost, kBadPlan * pace}), kStretchLearn);
+    blend(pace, std::min({seen, kStretchMost, kBadPlan * pace}), kStretchLearn);
   }
   if (n.kind == NoteKind::kWaits) c->waited = true;
   if (n.kind == NoteKind::kWaits && n.value == kWaitsForLoad && !stands_still(s, *c, s.engines[c->engine])) {
