Means of logarithms only where the yardstick is one of estimates

Cause: estimates scatter widely, so the least mean of 20 ratios lies far under the true one and every stretch looks high: the gateway with most traffic was held at its floor.

--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -105,6 +105,13 @@
   mean = mean == 0 ? sample : mean + share * (sample - mean);
 }
 
+// Against a yardstick of estimates the samples scatter widely: there the mean is one of logarithms, as the
+// yardstick is, so that the few largest do not make it.
+void blend_stretch(const Profile& p, double& mean, double sample, double share) {
+  if (p.base <= 0) return blend(mean, sample, share);
+  mean *= std::pow(std::max(sample, 1 / kRatioMost) / mean, share);
+}
+
 Profile& profile_of(State& s, const Command& c) { return s.profiles[c.asked.profile]; }
 const Profile& profile_of(const State& s, const Command& c) { return s.profiles[c.asked.profile]; }
 
@@ -160,9 +167,9 @@
   // Guards against calling a crowd normal: where the answer tells no cost, latency stands in for it, and its
   // mean rises with the crowding that it should show. The quickest stretch of outcomes is the yardstick.
   if (r.work <= 0 && c.asked.estimate > 0) {
-    p.window_sum += std::min(work / c.asked.estimate, kRatioMost);
+    p.window_sum += std::log(std::clamp(work / c.asked.estimate, 1 / kRatioMost, kRatioMost));
     if (++p.window_count == kBaseWindow) {
-      const double mean = p.window_sum / kBaseWindow;
+      const double mean = std::exp(p.window_sum / kBaseWindow);
       p.base = p.base > 0 ? std::min(mean, p.base * kBaseDrift) : mean;
       p.window_sum = p.window_count = 0;
     }
@@ -174,13 +181,13 @@
   if (!c.waited) {
     const double stretch = std::min(r.took / std::max(by_itself, 1.0), kStretchMost);
     const double weight = kStretchLearn * r.work / std::max(1.0, s.all_work * (1 - kWorkFade));
-    blend(e.stretch, stretch, kStretchLearn);
+    blend_stretch(p, e.stretch, stretch, kStretchLearn);
     // Notes come from the commands that last: their quicker kin must count, too, or a level once cut stays
     // cut.
     if (r.work > 0) {
-      blend(e.work_stretch, stretch, std::min(weight, kStretchJump));
+      blend_stretch(p, e.work_stretch, stretch, std::min(weight, kStretchJump));
     } else if (p.threads > 1) {
-      blend(e.work_stretch, stretch, kStretchLearn);
+      blend_stretch(p, e.work_stretch, stretch, kStretchLearn);
     }
   }
   e.tables[static_cast<size_t>(c.sends + c.taken_at) % e.tables.size()] = c.asked.tables;
@@ -270,7 +277,7 @@
   if (n.kind == NoteKind::kProgress && n.value > 0 && !c->waited) {
     double& pace = s.engines[c->engine].work_stretch;
     const double seen = (now - c->sent_at) / (n.value * std::max(1.0, c->alone));
-    blend(pace, std::min({seen, kStretchMost, kBadPlan * pace}), kStretchLearn);
+    blend_stretch(profile_of(s, *c), pace, std::min({seen, kStretchMost, kBadPlan * pace}), kStretchLearn);
   }
   if (n.kind == NoteKind::kWaits) c->waited = true;
   if (n.kind == NoteKind::kWaits && n.value == kWaitsForLoad && !stands_still(s, *c, s.engines[c->engine])) {
