Four good trials in a row bring a failing engine back

Also serves engines judged slow or silent; harms where an engine fails by turns: three sends in a row doubt it again.

--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -40,6 +40,7 @@
 constexpr Ms kFailWindow = 10000;     // over which they are counted (as a fading count)
 constexpr double kFailLeast = 2.5;    // fading failures before the share is believed
 constexpr Ms kTrialFirst = 1000;      // until the first trial of a doubted engine
+constexpr int kTrialsGood = 4;        // in a row: past the luck of an engine that fails a third of its work
 constexpr Ms kTrialMost = 8000;       // the wait doubles up to this
 constexpr Ms kSilence = 600;          // without a sign of life while something is overdue: above long pauses
 constexpr double kOverdue = 4;        // times the predicted time before a send is overdue
@@ -308,7 +309,10 @@
   const bool lost =
       r.outcome == Outcome::kFailed || r.outcome == Outcome::kReset || r.outcome == Outcome::kConnectFailed;
   if (r.outcome == Outcome::kOk || lost || r.outcome == Outcome::kTimedOut) e.tries += 1;
-  if (lost) e.fails += 1;
+  if (lost) {
+    e.fails += 1;
+    e.good_trials = 0;
+  }
   if (e.in_pool && c.heavy) {
     s.pool_sends += 1;
     if (r.outcome == Outcome::kFull || r.outcome == Outcome::kTimedOut) s.pool_bad += 1;
@@ -318,6 +322,11 @@
     if (e.silent && now - e.sign_at > kSilentCold) start_cold(e, now);
     e.silent = false;
     e.trials = 0;
+    // Guards against a long way back: fading counts alone keep an engine out as long again as it failed.
+    if (e.doubted) {
+      e.trial_at = now;
+      if (++e.good_trials >= kTrialsGood) e.fails = e.good_trials = 0;
+    }
     learn(s, c, r);
   }
   if (r.outcome == Outcome::kOk || r.outcome == Outcome::kFailed || r.outcome == Outcome::kFull)
--- a/src/rules.h
+++ b/src/rules.h
@@ -138,6 +138,7 @@
   bool told = false;     // the doubt as last logged
   Ms trial_at = 0;       // the next trial, or probe
   int trials = 0;        // in a row without success
+  int good_trials = 0;   // in a row with success, while doubted
   // Its level:
   double limit = 0;         // threads that this gateway runs there at once
   double stretch = 0;       // recent time over time alone, mean of commands
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -311,6 +311,19 @@
   EXPECT_EQ(c.want, Want::kWithdraw);
 }
 
+TEST(Health, AFewGoodTrialsInARowBringAFailingEngineBack) {
+  State s = state_with(2, {profile(Effect::kReplayable)});
+  s.engines[0].fails = s.engines[0].tries = 9;
+  judge_engines(s, 0);
+  for (int i = 0; i < 4; ++i) {
+    Command& c = add_command(s);
+    put_out(s, c, 0, 0);
+    hear(s, 100, settled(c, Outcome::kOk));
+  }
+  judge_engines(s, 100);
+  EXPECT_FALSE(s.engines[0].doubted);
+}
+
 TEST(Health, AShortCommandThatTakesLongIsNoSilence) {
   State s = state_with(1, {profile(Effect::kReplayable)});
   s.profiles[0].mean_cost = 200;
