--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -74,7 +74,7 @@
 constexpr double kWaitsForLoad = 2;  // the note's word for standing still while a load holds the tables
 constexpr Ms kTablesHeld = 3000;     // that such news is kept: a load's usual length
 // Warm-up
-constexpr double kColdPart = 0.8;     // of the allowed work to a cold engine: the rest is for chance
+constexpr double kColdPart = 0.5;     // of the allowed work to a cold engine: the rest is for chance
 constexpr double kCapacity = 0.85;    // of the cores: the bench's and the operators' meaning of capacity
 constexpr double kSilentCold = 3000;  // ms of silence after which an engine may have started anew
 // Terms
