--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -240,8 +240,7 @@
     e->cores = number(s.articles, "cores." + l.machine, 1);
     e->memory_mb = number(s.articles, "memory." + l.machine);
     if (e->limit == 0) e->limit = kLevelStart * e->cores / s.gateways;
-    // Guards rule 4: a new start time, or an engine that joins, is a cold engine. `born` may lie well before
-    // this news; the ramp counts from the news where none is told.
+    // Guards rule 4: a start within the warm-up makes a cold engine, whether it is new or came back.
     const bool joins = e->life == Life::kGone && l.life == Life::kReady && now > 0;
     e->life = l.life;
     if (l.born > 0 && now - l.born < s.warm_up && e->cold_since < l.born) start_cold(*e, l.born);
@@ -687,7 +686,10 @@
     const Profile& p = profile_of(s, c);
     return p.benefit * (late(c) ? p.late_share : 1) / c.cost;
   };
-  std::stable_sort(s.line.begin(), s.line.end(), [&](int a, int b) { return worth(a) > worth(b); });
+  std::sort(s.line.begin(), s.line.end(), [&](int a, int b) {
+    const double one = worth(a), two = worth(b);
+    return one != two ? one > two : s.slab[a].asked.id.text < s.slab[b].asked.id.text;
+  });
   const bool pool_overloaded = s.pool_sends >= kPoolSendsLeast && s.pool_bad >= kPoolBadShare * s.pool_sends;
   for (const int place : s.line) {
     Command& c = s.slab[place];
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -26,6 +26,16 @@
   EXPECT_EQ(c.want, Want::kShed);
 }
 
+TEST(Answer, WhatCannotEndInTimeAtTheUsualStretchIsShedAtOnce) {
+  State s = state_with(1, {profile(Effect::kReplayable)});
+  s.usual_stretch = 3;
+  Command& c = add_command(s);
+  c.alone = 200;
+  c.asked.gives_up_at = 1000;
+  review_line(s, 500);
+  EXPECT_EQ(c.want, Want::kShed);
+}
+
 TEST(Answer, NothingIsSaidAfterTheClientLeft) {
   State s = state_with(1, {profile(Effect::kReplayable)});
   add_command(s).ended = true;
