--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -81,6 +81,7 @@
 constexpr int kRankShort = 3;          // short commands first where cores or disks are short
 constexpr int kRankOther = 1;          // the default: the rest are held back in line, not on the engine
 constexpr double kGrantMargin = 1.15;  // over the predicted memory: short of it a command spills
+constexpr double kWarmTables = 0.85;   // of the work: what tables seen lately save
 
 double number(const Articles& a, const std::string& name, double otherwise = 0) {
   const auto at = a.find(name);
@@ -190,6 +191,7 @@
       blend_stretch(p, e.work_stretch, stretch, kStretchLearn);
     }
   }
+  e.tables[static_cast<size_t>(c.sends + c.taken_at) % e.tables.size()] = c.asked.tables;
 }
 
 // ---- Guards of the rules ------------------------------------------------------------------------
@@ -632,7 +634,9 @@
     const size_t two = count > 1 ? (one + 1 + s.chance.next() % (count - 1)) % count : one;
     const auto load = [&](int i) {
       const Engine& e = s.engines[i];
-      return (e.work_out + c.cost) * std::max(1.0, e.stretch) / e.cores;
+      const bool warm = c.asked.tables >= 0 &&
+                        std::find(e.tables.begin(), e.tables.end(), c.asked.tables) != e.tables.end();
+      return (e.work_out + c.cost * (warm ? kWarmTables : 1)) * std::max(1.0, e.stretch) / e.cores;
     };
     return load(s.drawn[one]) <= load(s.drawn[two]) ? s.drawn[one] : s.drawn[two];
   }
--- a/src/rules.h
+++ b/src/rules.h
@@ -149,6 +149,7 @@
   // Its warmth:
   Ms cold_since = 0;                     // below 0: warm
   std::vector<std::pair<Ms, Ms>> spent;  // while cold: when and how much work was sent
+  std::array<int64_t, 4> tables{-1, -1, -1, -1};
 };
 
 enum class Want { kHold, kOut, kWithdraw, kShed, kFail };
