--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -81,7 +81,7 @@
 constexpr int kRankShort = 3;          // short commands first where cores or disks are short
 constexpr int kRankOther = 1;          // the default: the rest are held back in line, not on the engine
 constexpr double kGrantMargin = 1.15;  // over the predicted memory: short of it a command spills
-constexpr double kWarmTables = 0.6;    // of the work: what tables seen lately save
+constexpr double kWarmTables = 0.85;   // of the work: what tables seen lately save
 
 double number(const Articles& a, const std::string& name, double otherwise = 0) {
   const auto at = a.find(name);
