--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -116,12 +116,6 @@
 Profile& profile_of(State& s, const Command& c) { return s.profiles[c.asked.profile]; }
 const Profile& profile_of(const State& s, const Command& c) { return s.profiles[c.asked.profile]; }
 
-Engine* engine_of(State& s, uint32_t id) {
-  const auto at = std::lower_bound(s.engines.begin(), s.engines.end(), id,
-                                   [](const Engine& e, uint32_t i) { return e.id < i; });
-  return at != s.engines.end() && at->id == id ? &*at : nullptr;
-}
-
 Command* command_of(State& s, const CommandId& id) {
   for (const int place : s.live)
     if (s.slab[place].asked.id == id) return &s.slab[place];
@@ -135,6 +129,15 @@
   return named(p.zones, e.zone) && named(p.machines, e.machine);
 }
 
+bool is_short(const State& s, const Command& c) { return profile_of(s, c).threads == 1 && !c.heavy; }
+
+// Predicted on an engine as crowded as it is. Guards against estimates far too low: few commands of a profile
+// are much quicker than its mean.
+Ms usual_time(const State& s, const Command& c, const Engine& e) {
+  const Profile& p = profile_of(s, c);
+  return std::max(c.alone, p.mean_cost / p.threads) * std::max(1.0, e.stretch);
+}
+
 bool never_ran(Outcome o) {
   return o == Outcome::kFull || o == Outcome::kConnectFailed || o == Outcome::kMoot;
 }
@@ -161,14 +164,15 @@
   Profile& p = profile_of(s, c);
   const Ms work = r.work > 0 ? r.work : r.took * p.threads;
   blend(p.mean_work, work, kLearn);
-  if (c.asked.estimate > 0)
-    blend(p.correction, std::clamp(work / c.asked.estimate, 1 / kRatioMost, kRatioMost), kLearn);
+  const double ratio =
+      c.asked.estimate > 0 ? std::clamp(work / c.asked.estimate, 1 / kRatioMost, kRatioMost) : 0;
+  if (ratio > 0) blend(p.correction, ratio, kLearn);
   if (r.memory_mb > 0 && c.asked.memory_mb > 0)
     blend(p.memory_correction, std::min(r.memory_mb / c.asked.memory_mb, kRatioMost), kLearn);
   // Guards against calling a crowd normal: where the answer tells no cost, latency stands in for it, and its
   // mean rises with the crowding that it should show. The quickest stretch of outcomes is the yardstick.
-  if (r.work <= 0 && c.asked.estimate > 0) {
-    p.window_sum += std::log(std::clamp(work / c.asked.estimate, 1 / kRatioMost, kRatioMost));
+  if (r.work <= 0 && ratio > 0) {
+    p.window_sum += std::log(ratio);
     if (++p.window_count == kBaseWindow) {
       const double mean = std::exp(p.window_sum / kBaseWindow);
       p.base = p.base > 0 ? std::min(mean, p.base * kBaseDrift) : mean;
@@ -219,17 +223,16 @@
                        [&](const Listing& l) { return l.engine == e.id; }))
         e.life = Life::kGone;
   for (const Listing& l : r.listings) {
-    Engine* e = engine_of(s, l.engine);
-    if (!e) {
-      const auto at = std::lower_bound(s.engines.begin(), s.engines.end(), l.engine,
-                                       [](const Engine& x, uint32_t i) { return x.id < i; });
-      const int place = static_cast<int>(at - s.engines.begin());
+    auto e = std::lower_bound(s.engines.begin(), s.engines.end(), l.engine,
+                              [](const Engine& x, uint32_t i) { return x.id < i; });
+    if (e == s.engines.end() || e->id != l.engine) {
+      const int place = static_cast<int>(e - s.engines.begin());
       for (const int i : s.live) {
         Command& c = s.slab[i];
         for (int* held : {&c.engine, &c.want_engine, &c.risked_on})
           if (*held >= place) ++*held;
       }
-      e = &*s.engines.insert(at, Engine{});
+      e = s.engines.insert(e, Engine{});
       e->id = l.engine;
       e->cold_since = -1;
       e->stretch = e->work_stretch = 1;
@@ -238,7 +241,6 @@
     e->machine = l.machine;
     e->cell = l.cell;
     e->cores = number(s.articles, "cores." + l.machine, 1);
-    e->memory_mb = number(s.articles, "memory." + l.machine);
     if (e->limit == 0) e->limit = kLevelStart * e->cores / s.gateways;
     // Guards rule 4: a start within the warm-up makes a cold engine, whether it is new or came back.
     const bool joins = e->life == Life::kGone && l.life == Life::kReady && now > 0;
@@ -259,7 +261,6 @@
   }
   Command& c = s.slab[place] = Command{};
   c.asked = t;
-  c.live = true;
   c.taken_at = c.held_since = now;
   s.live.push_back(place);
   s.taken.add(now);
@@ -358,9 +359,7 @@
   const Ms since = std::max(c.sent_at, e.sign_at);
   if (now - since < kSilence) return false;
   if (s.note_period > 0 && now - std::max(since, c.noted_at) > kNotesMissed * s.note_period) return true;
-  // Guards against estimates far too low: few commands of a profile are much quicker than its mean.
-  const Profile& p = profile_of(s, c);
-  return now - since > kOverdue * std::max(c.alone, p.mean_cost / p.threads) * std::max(1.0, e.stretch);
+  return now - since > kOverdue * usual_time(s, c, e);
 }
 
 }  // namespace
@@ -394,7 +393,6 @@
   s.articles = a;
   s.chance.state = salt * 2 + 1;
   s.chance.next();
-  s.zone = word(a, "zone");
   s.gateways = std::max(1.0, number(a, "gateways", 1));
   s.most_sends = static_cast<int>(number(a, "sends at most", 1));
   s.may_cancel = number(a, "may cancel") > 0;
@@ -492,8 +490,6 @@
     if (s.engines[i].life == Life::kReady) ready.push_back(static_cast<int>(i));
   }
   if (ready.empty()) return;
-  double all_cores = 0, pool_cores = 0;
-  for (const int i : ready) all_cores += s.engines[i].cores;
   bool by_zone = false;
   for (size_t k = ready.size(); k-- > 0 && !by_zone;) {
     const std::string& zone = s.engines[ready[k]].zone;
@@ -511,8 +507,6 @@
                    std::min(kPoolLeast, ready.size()), ready.size());
     for (size_t k = ready.size() - count; k < ready.size(); ++k) s.engines[ready[k]].in_pool = true;
   }
-  for (const int i : ready)
-    if (s.engines[i].in_pool) pool_cores += s.engines[i].cores;
   // The top share of predictions that counts as heavy.
   if (s.recent_costs.size() < kRecentLeast) return;
   s.sorted_costs = s.recent_costs;
@@ -594,8 +588,8 @@
 // Two drawn candidates with room, the one with less own predicted work in flight. -1: none has room.
 int choose(State& s, const Command& c, Ms now) {
   const Profile& p = profile_of(s, c);
-  const bool is_short = p.threads == 1 && !c.heavy;
-  const bool trial_fits = p.effect == Effect::kReplayable && is_short;
+  const bool quick = is_short(s, c);
+  const bool trial_fits = p.effect == Effect::kReplayable && quick;
   const bool readers =
       std::any_of(s.profiles.begin(), s.profiles.end(), [](const Profile& x) { return x.waits; });
   const bool held_long = now - c.held_since > kHeavyHold;
@@ -620,7 +614,7 @@
       }
       usable = true;
       crowded &= e.threads_out > e.cores;
-      const double limit = e.limit * warmth(s, e, now) * (is_short ? kShortExtra : 1);
+      const double limit = e.limit * warmth(s, e, now) * (quick ? kShortExtra : 1);
       if (e.threads_out > 0 && e.threads_out + p.threads > limit) {
         e.limit_met = true;
         continue;
@@ -652,7 +646,6 @@
     const Engine& e = s.engines[c.engine];
     const Ms ran = now - c.sent_at, left = c.asked.gives_up_at - now;
     const Ms again = c.alone * std::max(1.0, e.stretch);
-    const Ms usual = p.mean_cost / p.threads * std::max(1.0, e.stretch);
     if (p.effect != Effect::kReplayable || c.sends >= s.most_sends || left < again) continue;
     if (c.stuck || (e.silent && overdue(s, c, e, now))) {
       if (budget_left(s, now)) c.want = Want::kWithdraw;
@@ -661,7 +654,7 @@
     if (ran < kBadPlanLeast || c.withdrawals >= kWithdrawMost) continue;
     const Ms whole = c.share_done > 0 ? (c.noted_at - c.sent_at) / c.share_done : 0;
     // Without a word of progress the plan may be bad or the send swallowed by an engine that serves others.
-    const bool blind = c.share_done == 0 && !c.waited && ran > kBlind * std::max(again, usual);
+    const bool blind = c.share_done == 0 && !c.waited && ran > kBlind * usual_time(s, c, e);
     if ((blind || (whole > kBadPlan * again && whole - ran > again)) && budget_left(s, now)) {
       c.want = Want::kWithdraw;
       c.withdrawals += 1;
@@ -713,7 +706,7 @@
     if (c.sends > 0) s.further.add(now);  // here, so that the next in line sees it
     c.want = Want::kOut;
     c.want_engine = i;
-    c.want_rank = p.threads == 1 && !c.heavy ? kRankShort : kRankOther;
+    c.want_rank = is_short(s, c) ? kRankShort : kRankOther;
     const double memory = c.asked.memory_mb * (p.memory_correction > 0 ? p.memory_correction : 1);
     c.want_grant_mb = s.grants ? memory * kGrantMargin : 0;
     Engine& e = s.engines[i];
@@ -779,9 +772,7 @@
   }
   // A place is free once its command has ended and nothing of it is out.
   std::erase_if(s.live, [&](int place) {
-    Command& c = s.slab[place];
-    if (!c.ended || c.out) return false;
-    c.live = false;
+    if (!s.slab[place].ended || s.slab[place].out) return false;
     s.free_places.push_back(place);
     return true;
   });
--- a/src/rules.h
+++ b/src/rules.h
@@ -124,7 +124,7 @@
   std::string zone, machine;
   int cell = 0;
   Life life = Life::kGone;
-  double cores = 0, memory_mb = 0;
+  double cores = 0;
   bool in_pool = false;
   // This gateway's own sends there:
   int sends_out = 0, threads_out = 0;
@@ -136,7 +136,7 @@
   bool doubted = false;  // gets one trial at a time
   bool silent = false;   // and owes a sign of life
   bool told = false;     // the doubt as last logged
-  Ms trial_at = 0;       // the next trial, or probe
+  Ms trial_at = 0;       // the next trial
   int trials = 0;        // in a row without success
   int good_trials = 0;   // in a row with success, while doubted
   // Its level:
@@ -162,7 +162,7 @@
   bool heavy = false;
   Ms held_since = 0;
   // Present state:
-  bool live = false, out = false, withdrawn = false, ended = false;
+  bool out = false, withdrawn = false, ended = false;
   int sends = 0, engine = -1;
   Ms sent_at = 0, noted_at = 0;
   double share_done = 0;
@@ -223,7 +223,6 @@
   Ms pool_counted_at = 0;
   Ms bell_at = 0, want_bell = 0;
   // Read from the articles once, since every command needs them:
-  std::string zone;
   double gateways = 1;
   int most_sends = 0;
   bool may_cancel = false, ranks = false, grants = false;
--- a/tests/helpers.h
+++ b/tests/helpers.h
@@ -56,7 +56,6 @@
   c.asked.profile = profile;
   c.asked.gives_up_at = 10000;
   c.cost = c.alone = 100;
-  c.live = true;
   return c;
 }
 
