--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -83,25 +83,6 @@
 constexpr double kGrantMargin = 1.15;  // over the predicted memory: short of it a command spills
 constexpr double kWarmTables = 0.85;   // of the work: what tables seen lately save
 
-double number(const Articles& a, const std::string& name, double otherwise = 0) {
-  const auto at = a.find(name);
-  const double* value = at == a.end() ? nullptr : std::get_if<double>(&at->second);
-  return value ? *value : otherwise;
-}
-
-std::string word(const Articles& a, const std::string& name) {
-  const auto at = a.find(name);
-  const std::string* value = at == a.end() ? nullptr : std::get_if<std::string>(&at->second);
-  return value ? *value : std::string();
-}
-
-std::vector<std::string> words(const Articles& a, const std::string& name) {
-  std::vector<std::string> all;
-  for (int i = 0; a.count(name + "." + std::to_string(i)); ++i)
-    all.push_back(word(a, name + "." + std::to_string(i)));
-  return all;
-}
-
 void blend(double& mean, double sample, double share) {
   mean = mean == 0 ? sample : mean + share * (sample - mean);
 }
@@ -364,30 +345,6 @@
 
 }  // namespace
 
-uint32_t Pcg::next() {
-  const uint64_t old = state;
-  state = old * 6364136223846793005ULL + 1442695040888963407ULL;
-  const uint32_t shifted = static_cast<uint32_t>(((old >> 18) ^ old) >> 27);
-  const uint32_t turn = static_cast<uint32_t>(old >> 59);
-  return (shifted >> turn) | (shifted << ((32 - turn) & 31));
-}
-
-void Moments::add(Ms at) {
-  if (count_ == places_.size()) {
-    std::rotate(places_.begin(), places_.begin() + static_cast<long>(first_), places_.end());
-    first_ = 0;
-    places_.resize(std::max<size_t>(64, 2 * places_.size()));
-  }
-  places_[(first_ + count_++) % places_.size()] = at;
-}
-
-void Moments::forget_before(Ms at) {
-  while (count_ > 0 && places_[first_] < at) {
-    first_ = (first_ + 1) % places_.size();
-    --count_;
-  }
-}
-
 State open(const Articles& a, uint64_t salt) {
   State s;
   s.articles = a;
--- a/src/rules.h
+++ b/src/rules.h
@@ -233,6 +233,12 @@
   double cold_share = 0, fall_multiple = 0;
 };
 
+// ---- Helpers of the state, in state.cpp: no decision there ---------------------------------------
+
+double number(const Articles& a, const std::string& name, double otherwise = 0);
+std::string word(const Articles& a, const std::string& name);
+std::vector<std::string> words(const Articles& a, const std::string& name);  // a list numbered from 0
+
 // ---- The module ---------------------------------------------------------------------------------
 
 State open(const Articles& articles, uint64_t salt);
