Levels hold for all engines together, and learn from an engine's kin

Cause: with a hundred gateways a level is a fraction of a thread, but one command was always let through to each engine by each gateway, so engines took up to a hundred at once; and an engine's stretch rests on one outcome in ten seconds. Now one command may always be out, further ones only within the sum of the levels of the engines that would do; an engine with few outcomes of its own is taken to be as crowded as its kin (machine, pool or not); a step up is a quarter of the level at most. Also catches: uneven gateways, crowds on the kind of machine a profile is bound to. Harm: one jammed engine among quick kin is judged too well where it is seldom met.

--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -58,8 +58,10 @@
 constexpr double kLevelCut = 0.92;      // a step down
 constexpr Ms kLevelCutWait = 400;       // between steps down: the cut must show first
 constexpr Ms kLevelRaiseWait =
-    2000;                      // between steps up of one thread: at 200 and 800 the steps outran the cuts
-constexpr Ms kFullRest = 250;  // after 'full': some commands end there within it
+    2000;                         // between steps up of one thread: at 200 and 800 the steps outran the cuts
+constexpr Ms kFullRest = 250;     // after 'full': some commands end there within it
+constexpr double kKinWeight = 4;  // outcomes: an engine with fewer of late is judged by its kin as well
+constexpr double kRaisePart = 0.25;   // of the level: a step up is one thread or this, the lesser
 constexpr double kShortExtra = 1.25;  // times the limit for short commands, which free it soon
 // Line
 constexpr Ms kBeat = 20;            // between looks while commands are in hand: far under any target
@@ -116,7 +118,7 @@
 // are much quicker than its mean.
 Ms usual_time(const State& s, const Command& c, const Engine& e) {
   const Profile& p = profile_of(s, c);
-  return std::max(c.alone, p.mean_cost / p.threads) * std::max(1.0, e.stretch);
+  return std::max(c.alone, p.mean_cost / p.threads) * std::max(1.0, e.usual);
 }
 
 bool never_ran(Outcome o) {
@@ -161,6 +163,7 @@
     }
   }
   Engine& e = s.engines[c.engine];
+  Kin& kin = s.kin[e.kin];
   const Ms by_itself = r.work > 0 ? r.work / p.threads : c.alone;
   // Two means: short commands of high priority glide past a crowd that holds up all others, and where no
   // priority is heeded they are the first to feel one. Work that is only guessed adds noise to the weight.
@@ -168,12 +171,15 @@
     const double stretch = std::min(r.took / std::max(by_itself, 1.0), kStretchMost);
     const double weight = kStretchLearn * r.work / std::max(1.0, s.all_work * (1 - kWorkFade));
     blend_stretch(p, e.stretch, stretch, kStretchLearn);
+    blend_stretch(p, kin.stretch, stretch, kStretchLearn);
     // Notes come from the commands that last: their quicker kin must count, too, or a level once cut stays
     // cut.
     if (r.work > 0) {
       blend_stretch(p, e.work_stretch, stretch, std::min(weight, kStretchJump));
+      blend_stretch(p, kin.work_stretch, stretch, std::min(weight, kStretchJump));
     } else if (p.threads > 1) {
       blend_stretch(p, e.work_stretch, stretch, kStretchLearn);
+      blend_stretch(p, kin.work_stretch, stretch, kStretchLearn);
     }
   }
   e.tables[static_cast<size_t>(c.sends + c.taken_at) % e.tables.size()] = c.asked.tables;
@@ -220,6 +226,10 @@
     }
     e->zone = l.zone;
     e->machine = l.machine;
+    const auto kind = std::find(s.machines.begin(), s.machines.end(), l.machine);
+    e->kind = static_cast<int>(kind - s.machines.begin());
+    if (kind == s.machines.end()) s.machines.push_back(l.machine);
+    s.kin.resize(2 * s.machines.size());
     e->cell = l.cell;
     e->cores = number(s.articles, "cores." + l.machine, 1);
     if (e->limit == 0) e->limit = kLevelStart * e->cores / s.gateways;
@@ -257,9 +267,11 @@
   // Guards against a crowd of long commands that shows in no outcome for as long as they run. A pace far off
   // the engine's own is more likely a bad plan.
   if (n.kind == NoteKind::kProgress && n.value > 0 && !c->waited) {
-    double& pace = s.engines[c->engine].work_stretch;
+    Engine& e = s.engines[c->engine];
     const double seen = (now - c->sent_at) / (n.value * std::max(1.0, c->alone));
-    blend_stretch(profile_of(s, *c), pace, std::min({seen, kStretchMost, kBadPlan * pace}), kStretchLearn);
+    for (double* pace : {&e.work_stretch, &s.kin[e.kin].work_stretch})
+      blend_stretch(profile_of(s, *c), *pace, std::min({seen, kStretchMost, kBadPlan * *pace}),
+                    kStretchLearn);
   }
   if (n.kind == NoteKind::kWaits) c->waited = true;
   if (n.kind == NoteKind::kWaits && n.value == kWaitsForLoad && !stands_still(s, *c, s.engines[c->engine])) {
@@ -407,16 +419,24 @@
     const Command& c = s.slab[place];
     if (c.out && overdue(s, c, s.engines[c.engine], now)) s.engines[c.engine].silent = true;
   }
+  // Guards against levels that never move, or by chance, where a gateway sees little of each engine: with few
+  // outcomes of its own an engine is taken to be as crowded as its kin (the pool's or the light ones of its
+  // machine).
+  const auto with_kin = [](const Engine& e, double own, double kin) {
+    return (e.tries * own + kKinWeight * kin) / (e.tries + kKinWeight);
+  };
   s.sorted_costs.clear();
-  for (const Engine& e : s.engines)
-    if (e.life == Life::kReady && e.stretch > 0) s.sorted_costs.push_back(e.stretch);
+  for (Engine& e : s.engines) {
+    fade(e.tries, e.fails, e.counted_at, now);
+    e.usual = with_kin(e, e.stretch, s.kin[e.kin].stretch);
+    if (e.life == Life::kReady) s.sorted_costs.push_back(e.usual);
+  }
   std::sort(s.sorted_costs.begin(), s.sorted_costs.end());
   const double median = s.sorted_costs.empty() ? 1 : std::max(1.0, s.sorted_costs[s.sorted_costs.size() / 2]);
   s.usual_stretch = median;
   for (Engine& e : s.engines) {
-    fade(e.tries, e.fails, e.counted_at, now);
     const bool failing = e.fails >= kFailLeast && e.fails >= kFailShare * e.tries;
-    const bool doubted = e.silent || failing || e.stretch > kSlowPeer * median;
+    const bool doubted = e.silent || failing || e.usual > kSlowPeer * median;
     if (doubted && !e.doubted) {
       e.trials = 0;
       e.trial_at = now + kTrialFirst;
@@ -424,12 +444,12 @@
     e.doubted = doubted;
     // The level: down while its sends crowd each other, up while it binds and they do not.
     const double least = kLevelLeast * e.cores / s.gateways;
-    const double crowding = std::max(e.stretch, e.work_stretch);
+    const double crowding = std::max(e.usual, with_kin(e, e.work_stretch, s.kin[e.kin].work_stretch));
     if (crowding > kStretchHigh && now - e.limit_moved_at > kLevelCutWait) {
       e.limit *= kLevelCut;
       e.limit_moved_at = now;
     } else if (crowding < kStretchLow && e.limit_met && now - e.limit_moved_at > kLevelRaiseWait) {
-      e.limit += 1;
+      e.limit += std::min(1.0, kRaisePart * e.limit);
       e.limit_moved_at = now;
     }
     e.limit = std::clamp(e.limit, least, kLevelMost * e.cores);
@@ -464,6 +484,7 @@
                    std::min(kPoolLeast, ready.size()), ready.size());
     for (size_t k = ready.size() - count; k < ready.size(); ++k) s.engines[ready[k]].in_pool = true;
   }
+  for (Engine& e : s.engines) e.kin = 2 * e.kind + (e.in_pool ? 1 : 0);
   // The top share of predictions that counts as heavy.
   if (s.recent_costs.size() < kRecentLeast) return;
   s.sorted_costs = s.recent_costs;
@@ -553,6 +574,7 @@
   bool usable = false, crowded = true;  // the first choice: an engine that works; all over their cores
   for (const bool pool : {c.heavy, !c.heavy}) {
     s.drawn.clear();
+    double room = 0, threads_out = 0;  // of all engines in this half that would do
     // Loads that readers would stand still behind overflow when every pool engine is over its cores, as the
     // design says, or once held as long as heavy commands are; other heavy ones when the pool's level is
     // reached. Light ones use spare room in the pool, save those that would stand still behind its loads:
@@ -572,6 +594,8 @@
       usable = true;
       crowded &= e.threads_out > e.cores;
       const double limit = e.limit * warmth(s, e, now) * (quick ? kShortExtra : 1);
+      room += limit;
+      threads_out += e.threads_out;
       if (e.threads_out > 0 && e.threads_out + p.threads > limit) {
         e.limit_met = true;
         continue;
@@ -579,6 +603,13 @@
       if (cold_room(s, e, now) < p.mean_cost || stands_still(s, c, e)) continue;
       s.drawn.push_back(static_cast<int>(i));
     }
+    // Guards against many gateways with a small share of each engine, whose single commands add up to a
+    // crowd: one command may always be out, any further ones only within the levels of all these engines
+    // together.
+    if (threads_out > 0 && threads_out + p.threads > room) {
+      for (const int i : s.drawn) s.engines[i].limit_met = true;
+      continue;
+    }
     if (s.drawn.empty()) continue;
     const size_t count = s.drawn.size();
     const size_t one = s.chance.next() % count;
@@ -587,7 +618,7 @@
       const Engine& e = s.engines[i];
       const bool warm = c.asked.tables >= 0 &&
                         std::find(e.tables.begin(), e.tables.end(), c.asked.tables) != e.tables.end();
-      return (e.work_out + c.cost * (warm ? kWarmTables : 1)) * std::max(1.0, e.stretch) / e.cores;
+      return (e.work_out + c.cost * (warm ? kWarmTables : 1)) * std::max(1.0, e.usual) / e.cores;
     };
     return load(s.drawn[one]) <= load(s.drawn[two]) ? s.drawn[one] : s.drawn[two];
   }
@@ -602,7 +633,7 @@
     const Profile& p = profile_of(s, c);
     const Engine& e = s.engines[c.engine];
     const Ms ran = now - c.sent_at, left = c.asked.gives_up_at - now;
-    const Ms again = c.alone * std::max(1.0, e.stretch);
+    const Ms again = c.alone * std::max(1.0, e.usual);
     if (p.effect != Effect::kReplayable || c.sends >= s.most_sends || left < again) continue;
     if (c.stuck || (e.silent && overdue(s, c, e, now))) {
       if (budget_left(s, now)) c.want = Want::kWithdraw;
--- a/src/rules.h
+++ b/src/rules.h
@@ -143,6 +143,8 @@
   double limit = 0;         // threads that this gateway runs there at once
   double stretch = 0;       // recent time over time alone, mean of commands
   double work_stretch = 0;  // the same, mean over their work
+  double usual = 1;         // stretch, with that of its kin where it has few outcomes of its own
+  int kind = 0, kin = 0;    // places in the state's machines and kin
   bool limit_met = false;
   Ms limit_moved_at = 0;
   Ms closed_until = 0;  // it turned a send away
@@ -152,6 +154,11 @@
   std::array<int64_t, 4> tables{-1, -1, -1, -1};
 };
 
+// Engines of one kind of machine, those of the pool or the others.
+struct Kin {
+  double stretch = 1, work_stretch = 1;
+};
+
 enum class Want { kHold, kOut, kWithdraw, kShed, kFail };
 
 struct Command {
@@ -207,7 +214,9 @@
   std::vector<Profile> profiles;
   Articles articles;
   std::vector<Engine> engines;  // by id; places move only when a new id is listed
-  std::vector<Command> slab;    // commands in hand, places reused
+  std::vector<std::string> machines;
+  std::vector<Kin> kin;       // two for each of the machines: light, pool
+  std::vector<Command> slab;  // commands in hand, places reused
   std::vector<int> free_places;
   std::vector<int> live;         // places in the order taken
   std::vector<int> line, drawn;  // scratch
--- a/tests/helpers.h
+++ b/tests/helpers.h
@@ -33,6 +33,8 @@
   s.profiles = std::move(profiles);
   s.most_sends = 5;
   s.may_cancel = true;
+  s.machines = {""};
+  s.kin.resize(2);
   for (int i = 0; i < engines; ++i) {
     Engine e;
     e.id = static_cast<uint32_t>(10 * (i + 1));
