Short commands are held by each other alone

Cause: within the joint level a lookup sat out a report of its own gateway, for longer than its latency target. Now only short commands count against short ones. Harm: short commands in large numbers crowd past long ones; the level of each engine still counts both.

--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -296,6 +296,7 @@
   c.out = false;
   e.sends_out -= 1;
   e.threads_out -= p.threads;
+  if (is_short(s, c)) e.short_out -= 1;
   e.work_out = std::max(0.0, e.work_out - c.cost);
   fade(e.tries, e.fails, e.counted_at, now);
   fade(s.pool_sends, s.pool_bad, s.pool_counted_at, now);
@@ -595,7 +596,7 @@
       crowded &= e.threads_out > e.cores;
       const double limit = e.limit * warmth(s, e, now) * (quick ? kShortExtra : 1);
       room += limit;
-      threads_out += e.threads_out;
+      threads_out += quick ? e.short_out : e.threads_out;
       if (e.threads_out > 0 && e.threads_out + p.threads > limit) {
         e.limit_met = true;
         continue;
@@ -605,7 +606,7 @@
     }
     // Guards against many gateways with a small share of each engine, whose single commands add up to a
     // crowd: one command may always be out, any further ones only within the levels of all these engines
-    // together.
+    // together. Short commands are held by each other alone: they do not sit out a long one.
     if (threads_out > 0 && threads_out + p.threads > room) {
       for (const int i : s.drawn) s.engines[i].limit_met = true;
       continue;
@@ -700,6 +701,7 @@
     Engine& e = s.engines[i];
     e.sends_out += 1;
     e.threads_out += p.threads;
+    if (is_short(s, c)) e.short_out += 1;
     e.work_out += c.cost;
     if (e.cold_since >= 0) e.spent.push_back({now, p.mean_cost});
   }
--- a/src/rules.h
+++ b/src/rules.h
@@ -127,7 +127,7 @@
   double cores = 0;
   bool in_pool = false;
   // This gateway's own sends there:
-  int sends_out = 0, threads_out = 0;
+  int sends_out = 0, threads_out = 0, short_out = 0;
   Ms work_out = 0;
   // Its health as seen from here:
   double tries = 0, fails = 0;  // fading counts
--- a/tests/helpers.h
+++ b/tests/helpers.h
@@ -71,6 +71,7 @@
   e.sends_out += 1;
   e.threads_out += s.profiles[static_cast<size_t>(c.asked.profile)].threads;
   e.work_out += c.cost;
+  if (s.profiles[static_cast<size_t>(c.asked.profile)].threads == 1 && !c.heavy) e.short_out += 1;
 }
 
 inline Event settled(const Command& c, Outcome outcome) {
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -431,6 +431,14 @@
   EXPECT_GE(choose(s, add_command(s), 10), 0);
 }
 
+TEST(Level, ShortCommandsDoNotSitOutALongOne) {
+  State s = state_with(4, {profile(Effect::kReplayable), profile(Effect::kReplayable, 4)});
+  for (Engine& e : s.engines) e.limit = 0.2;
+  put_out(s, add_command(s, 1), 0, 0);
+  EXPECT_EQ(choose(s, add_command(s, 1), 10), -1);
+  EXPECT_GE(choose(s, add_command(s), 10), 0);
+}
+
 TEST(Level, EngineWithFewOutcomesIsJudgedByItsKin) {
   State s = state_with(2, {profile(Effect::kReplayable)});
   s.kin[0].stretch = 3;
