What waits for memory goes elsewhere at once; no silence from waiting sends

Also catches: engines short of memory for any cause. Harm: with no memory anywhere commands spend their sends; the last send stays in line. Reading a profile's articles moved to state.cpp: nothing is decided there.

--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -43,6 +43,7 @@
 constexpr int kTrialsGood = 4;        // in a row: past the luck of an engine that fails a third of its work
 constexpr Ms kTrialMost = 8000;       // the wait doubles up to this
 constexpr Ms kSilence = 600;          // without a sign of life while something is overdue: above long pauses
+constexpr Ms kStall = 200;            // that a bell comes late: this gateway itself stood still
 constexpr double kOverdue = 4;        // times the predicted time before a send is overdue
 constexpr double kNotesMissed = 1.6;  // note periods without a note: one was surely missed
 constexpr double kSlowPeer = 3;       // times the median stretch: slower than its peers, not just busy
@@ -69,12 +70,13 @@
 constexpr double kTryAnyway = 0.9;  // of its life: predictions err, so each command gets a first chance
 constexpr Ms kRepeatSlack = 200;    // off the window of uniqued commands, for the way there
 // Bad plan
-constexpr double kBadPlan = 4;       // times the predicted time: past the scatter of estimates
-constexpr double kBlind = 4;         // times the predicted and the usual time without a word of progress
-constexpr Ms kBadPlanLeast = 300;    // running time below which nothing is withdrawn
-constexpr int kWithdrawMost = 2;     // withdrawals before the estimate is blamed instead
-constexpr double kWaitsForLoad = 2;  // the note's word for standing still while a load holds the tables
-constexpr Ms kTablesHeld = 3000;     // that such news is kept: a load's usual length
+constexpr double kBadPlan = 4;         // times the predicted time: past the scatter of estimates
+constexpr double kBlind = 4;           // times the predicted and the usual time without a word of progress
+constexpr Ms kBadPlanLeast = 300;      // running time below which nothing is withdrawn
+constexpr int kWithdrawMost = 2;       // withdrawals before the estimate is blamed instead
+constexpr double kWaitsForMemory = 1;  // the note's word for standing in the engine's line for memory
+constexpr double kWaitsForLoad = 2;    // the note's word for standing still while a load holds the tables
+constexpr Ms kTablesHeld = 3000;       // that such news is kept: a load's usual length
 // Warm-up
 constexpr double kColdPart = 0.5;     // of the allowed work to a cold engine: the rest is for chance
 constexpr double kCapacity = 0.85;    // of the cores: the bench's and the operators' meaning of capacity
@@ -274,6 +276,14 @@
                     kStretchLearn);
   }
   if (n.kind == NoteKind::kWaits) c->waited = true;
+  c->waiting = n.kind == NoteKind::kWaits;
+  // Guards against standing in a line for memory behind others' heavy commands while other engines have some:
+  // it has done nothing yet and goes elsewhere at no loss. What needs less may still fit here.
+  if (c->waiting && n.value == kWaitsForMemory) {
+    c->stuck = true;
+    s.engines[c->engine].closed_until = now + kFullRest;
+    s.engines[c->engine].closed_from_mb = c->asked.memory_mb;
+  }
   if (n.kind == NoteKind::kWaits && n.value == kWaitsForLoad && !stands_still(s, *c, s.engines[c->engine])) {
     s.held_tables.push_back({s.engines[c->engine].id, c->asked.tables, now + kTablesHeld});
     c->stuck = true;
@@ -327,6 +337,7 @@
     e.sign_at = now;
   if (r.outcome == Outcome::kFull) {
     e.limit = std::max(1.0, e.limit * kLevelCut);
+    e.closed_from_mb = 0;
     e.closed_until = now + kFullRest;  // guards against spending every further send on one closed door
   }
   if (!never_ran(r.outcome) && !c.may_have_run) {
@@ -350,8 +361,11 @@
 
 // Whether a send has run so long that its engine owed a sign of life.
 bool overdue(const State& s, const Command& c, const Engine& e, Ms now) {
-  const Ms since = std::max(c.sent_at, e.sign_at);
-  if (now - since < kSilence) return false;
+  // Guards against doubt where no word is owed: what stands still sends none, and after a stall of this
+  // gateway
+  // itself the first words are still to come.
+  const Ms since = std::max({c.sent_at, e.sign_at, s.awake_at});
+  if (c.waiting || now - since < kSilence) return false;
   if (s.note_period > 0 && now - std::max(since, c.noted_at) > kNotesMissed * s.note_period) return true;
   return now - since > kOverdue * usual_time(s, c, e);
 }
@@ -379,27 +393,8 @@
   s.fall_multiple = number(a, "fall multiple", 1);
   s.fall_window = number(a, "fall window");
   s.shed_advice = number(a, "may advise") > 0 ? number(a, "longest advice") : 0;
-  for (int i = 0; a.count("profile." + std::to_string(i) + ".name"); ++i) {
-    const std::string at = "profile." + std::to_string(i) + ".";
-    Profile p;
-    p.benefit = number(a, at + "benefit", 1);
-    p.late_share = number(a, at + "late share");
-    p.latency_target = number(a, at + "latency target");
-    p.target_stretch = number(a, at + "target stretch");
-    p.repeat_window = number(a, at + "repeat window");
-    const std::string effect = word(a, at + "effect"), group = word(a, at + "group");
-    p.effect = effect == "replayable" ? Effect::kReplayable
-               : effect == "uniqued"  ? Effect::kUniqued
-                                      : Effect::kNonReplayable;
-    p.group = group == "all" ? Group::kAll : group == "zone" ? Group::kZone : Group::kCell;
-    p.in_order = number(a, at + "in order") > 0;
-    p.is_load = number(a, at + "load") > 0;
-    p.waits = number(a, at + "waits") > 0;
-    p.threads = std::max(1, static_cast<int>(number(a, at + "threads", 1)));
-    p.zones = words(a, at + "zone");
-    p.machines = words(a, at + "machine");
-    s.profiles.push_back(p);
-  }
+  for (int i = 0; a.count("profile." + std::to_string(i) + ".name"); ++i)
+    s.profiles.push_back(profile_from(a, i));
   return s;
 }
 
@@ -584,7 +579,9 @@
       break;
     for (size_t i = 0; i < s.engines.size(); ++i) {
       Engine& e = s.engines[i];
-      if (e.in_pool != pool || now < e.closed_until || !may_send(s, c, e, now)) continue;
+      if (e.in_pool != pool || (now < e.closed_until && c.asked.memory_mb >= e.closed_from_mb) ||
+          !may_send(s, c, e, now))
+        continue;
       if (e.doubted) {
         if (trial_fits && e.sends_out == 0 && now >= e.trial_at && c.sends == 0) {
           e.trial_at = now + std::min(kTrialMost, kTrialFirst * (1 << std::min(e.trials++, 4)));
@@ -710,6 +707,7 @@
 void decide(State& s, Ms now, Actions& out) {
   std::erase_if(s.held_tables, [&](const HeldTables& h) { return now >= h.until; });
   std::erase_if(s.key_rests, [&](const KeyRest& k) { return now >= k.until; });
+  if (s.want_bell > 0 && now > s.want_bell + kStall) s.awake_at = now;
   judge_engines(s, now);
   draw_pool(s);
   review_out(s, now);
@@ -745,7 +743,7 @@
       c.sends += 1;
       c.engine = c.want_engine;
       c.out = true;
-      c.withdrawn = c.waited = c.stuck = false;
+      c.withdrawn = c.waited = c.waiting = c.stuck = false;
       c.share_done = 0;
       c.sent_at = c.noted_at = now;
     } else if (c.want == Want::kWithdraw && c.out && !c.withdrawn) {
--- a/src/rules.h
+++ b/src/rules.h
@@ -147,7 +147,8 @@
   int kind = 0, kin = 0;    // places in the state's machines and kin
   bool limit_met = false;
   Ms limit_moved_at = 0;
-  Ms closed_until = 0;  // it turned a send away
+  Ms closed_until = 0;  // it turned a send away, or let one wait that needs this much memory
+  double closed_from_mb = 0;
   // Its warmth:
   Ms cold_since = 0;                     // below 0: warm
   std::vector<std::pair<Ms, Ms>> spent;  // while cold: when and how much work was sent
@@ -173,7 +174,8 @@
   int sends = 0, engine = -1;
   Ms sent_at = 0, noted_at = 0;
   double share_done = 0;
-  bool waited = false, stuck = false;  // stood still at some time; stands still behind a load
+  bool waited = false, waiting = false,
+       stuck = false;  // stood still at some time; stands still behind a load
   int withdrawals = 0;
   bool may_have_run = false;
   int risked_on = -1;  // the engine and time of the first send that may have run
@@ -230,7 +232,7 @@
   double heavy_work = 0, all_work = 0;  // fading sums of predicted work
   double pool_sends = 0, pool_bad = 0;  // fading counts
   Ms pool_counted_at = 0;
-  Ms bell_at = 0, want_bell = 0;
+  Ms bell_at = 0, want_bell = 0, awake_at = 0;  // awake: since a stall of this gateway
   // Read from the articles once, since every command needs them:
   double gateways = 1;
   int most_sends = 0;
@@ -247,6 +249,7 @@
 double number(const Articles& a, const std::string& name, double otherwise = 0);
 std::string word(const Articles& a, const std::string& name);
 std::vector<std::string> words(const Articles& a, const std::string& name);  // a list numbered from 0
+Profile profile_from(const Articles& a, int number);
 
 // ---- The module ---------------------------------------------------------------------------------
 
--- a/src/state.cpp
+++ b/src/state.cpp
@@ -24,6 +24,28 @@
   return all;
 }
 
+Profile profile_from(const Articles& a, int i) {
+  const std::string at = "profile." + std::to_string(i) + ".";
+  Profile p;
+  p.benefit = number(a, at + "benefit", 1);
+  p.late_share = number(a, at + "late share");
+  p.latency_target = number(a, at + "latency target");
+  p.target_stretch = number(a, at + "target stretch");
+  p.repeat_window = number(a, at + "repeat window");
+  const std::string effect = word(a, at + "effect"), group = word(a, at + "group");
+  p.effect = effect == "replayable" ? Effect::kReplayable
+             : effect == "uniqued"  ? Effect::kUniqued
+                                    : Effect::kNonReplayable;
+  p.group = group == "all" ? Group::kAll : group == "zone" ? Group::kZone : Group::kCell;
+  p.in_order = number(a, at + "in order") > 0;
+  p.is_load = number(a, at + "load") > 0;
+  p.waits = number(a, at + "waits") > 0;
+  p.threads = std::max(1, static_cast<int>(number(a, at + "threads", 1)));
+  p.zones = words(a, at + "zone");
+  p.machines = words(a, at + "machine");
+  return p;
+}
+
 uint32_t Pcg::next() {
   const uint64_t old = state;
   state = old * 6364136223846793005ULL + 1442695040888963407ULL;
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -344,6 +344,22 @@
   EXPECT_FALSE(s.engines[0].doubted);
 }
 
+TEST(Health, WhatWaitsOwesNoWordNorIsAStallOfTheGatewayASilence) {
+  State s = state_with(1, {profile(Effect::kReplayable)});
+  Command& c = add_command(s);
+  put_out(s, c, 0, 0);
+  hear(s, 5, Note{c.asked.id, 0, NoteKind::kWaits, 1});
+  judge_engines(s, 5000);
+  EXPECT_FALSE(s.engines[0].doubted);
+  c.waiting = false;
+  s.want_bell = 20;
+  Actions out;
+  decide(s, 5000, out);
+  EXPECT_FALSE(s.engines[0].doubted);
+  judge_engines(s, 6000);
+  EXPECT_TRUE(s.engines[0].doubted);
+}
+
 TEST(BadPlan, WithdrawnWhenItsPaceIsFarOffThePrediction) {
   State s = state_with(1, {profile(Effect::kReplayable)});
   Command& c = add_command(s);
@@ -408,6 +424,21 @@
   EXPECT_EQ(choose(s, c, 1000), 0);
 }
 
+TEST(Level, WhatWaitsForMemoryGoesElsewhereAndSmallerOnesMayFit) {
+  State s = state_with(1, {profile(Effect::kReplayable)});
+  Command& c = add_command(s);
+  c.asked.memory_mb = 100;
+  put_out(s, c, 0, 0);
+  hear(s, 5, Note{c.asked.id, 0, NoteKind::kWaits, 1});
+  review_out(s, 5);
+  EXPECT_EQ(c.want, Want::kWithdraw);
+  Command& large = add_command(s);
+  Command& small = add_command(s);
+  large.asked.memory_mb = 200;
+  EXPECT_EQ(choose(s, large, 10), -1);
+  EXPECT_EQ(choose(s, small, 10), 0);
+}
+
 TEST(Level, CrowdingShowsWhereAnswersTellNoCost) {
   State s = state_with(1, {profile(Effect::kReplayable)});
   s.profiles[0].base = 1;
