Stretch is read against the quickest seen, also where answers tell the cost

The quickest window of outcomes is now the yardstick of every profile, not only where answers tell no cost.

--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -94,7 +94,7 @@
 // Against a yardstick of estimates the samples scatter widely: there the mean is one of logarithms, as the
 // yardstick is, so that the few largest do not make it.
 void blend_stretch(const Profile& p, double& mean, double sample, double share) {
-  if (p.base <= 0) return blend(mean, sample, share);
+  if (p.told || p.base <= 0) return blend(mean, sample, share);
   mean *= std::pow(std::max(sample, 1 / kRatioMost) / mean, share);
 }
 
@@ -133,7 +133,7 @@
   Profile& p = profile_of(s, c);
   const Ms base = c.asked.estimate > 0 ? c.asked.estimate : p.mean_work > 0 ? p.mean_work : kUnknownCost;
   c.cost = std::max(1.0, base * (c.asked.estimate > 0 && p.correction > 0 ? p.correction : 1));
-  c.alone = (p.base > 0 ? base * p.base : c.cost) / p.threads;
+  c.alone = (p.told ? c.cost * std::max(1.0, p.base) : p.base > 0 ? base * p.base : c.cost) / p.threads;
   blend(p.mean_cost, c.alone * p.threads, kLearn);
   if (s.recent_costs.size() < kRecent) {
     s.recent_costs.push_back(c.cost);
@@ -156,8 +156,10 @@
     blend(p.memory_correction, std::min(r.memory_mb / c.asked.memory_mb, kRatioMost), kLearn);
   // Guards against calling a crowd normal: where the answer tells no cost, latency stands in for it, and its
   // mean rises with the crowding that it should show. The quickest stretch of outcomes is the yardstick.
-  if (r.work <= 0 && ratio > 0) {
-    p.window_sum += std::log(ratio);
+  p.told = r.work > 0;
+  const double slowness = p.told ? r.took * p.threads / r.work : ratio;
+  if (slowness > 0) {
+    p.window_sum += std::log(slowness);
     if (++p.window_count == kBaseWindow) {
       const double mean = std::exp(p.window_sum / kBaseWindow);
       p.base = p.base > 0 ? std::min(mean, p.base * kBaseDrift) : mean;
@@ -166,7 +168,7 @@
   }
   Engine& e = s.engines[c.engine];
   Kin& kin = s.kin[e.kin];
-  const Ms by_itself = r.work > 0 ? r.work / p.threads : c.alone;
+  const Ms by_itself = p.told ? r.work / p.threads * std::max(1.0, p.base) : c.alone;
   // Two means: short commands of high priority glide past a crowd that holds up all others, and where no
   // priority is heeded they are the first to feel one. Work that is only guessed adds noise to the weight.
   if (!c.waited) {
--- a/src/rules.h
+++ b/src/rules.h
@@ -114,7 +114,8 @@
   double memory_correction = 0;  // the same for memory
   Ms mean_cost = 0;              // running mean of predicted cost
   Ms mean_work = 0;              // running mean of true cost, for commands that carry no estimate
-  double base = 0;  // of latency x threads to the estimate, in the quickest stretch so far: uncrowded
+  double base = 0;    // of latency x threads to the estimate, in the quickest stretch so far: uncrowded
+  bool told = false;  // answers tell the cost: base is then of latency x threads to it
   double window_sum = 0;
   int window_count = 0;
 };
