A wait for memory counts as a crowded outcome

A wait now counts as a stretch of 4 for its engine and kin. 'Full' no longer lifts a level that is under one thread.

--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -56,6 +56,7 @@
 constexpr double kStretchLearn = 0.08;  // share of a new outcome: follows within a dozen
 constexpr double kStretchJump = 0.4;    // share of one outcome at most, however much work it was
 constexpr double kStretchMost = 8;      // one sample tells no more
+constexpr double kStretchNoMemory = 4;  // what a wait for memory counts as: twice the mark to cut at
 constexpr double kLevelCut = 0.92;      // a step down
 constexpr Ms kLevelCutWait = 400;       // between steps down: the cut must show first
 constexpr Ms kLevelRaiseWait =
@@ -285,6 +286,8 @@
     c->stuck = true;
     s.engines[c->engine].closed_until = now + kFullRest;
     s.engines[c->engine].closed_from_mb = c->asked.memory_mb;
+    for (double* crowd : {&s.engines[c->engine].work_stretch, &s.kin[s.engines[c->engine].kin].work_stretch})
+      blend(*crowd, kStretchNoMemory, kStretchLearn);
   }
   if (n.kind == NoteKind::kWaits && n.value == kWaitsForLoad && !stands_still(s, *c, s.engines[c->engine])) {
     s.held_tables.push_back({s.engines[c->engine].id, c->asked.tables, now + kTablesHeld});
@@ -338,7 +341,8 @@
   if (r.outcome == Outcome::kOk || r.outcome == Outcome::kFailed || r.outcome == Outcome::kFull)
     e.sign_at = now;
   if (r.outcome == Outcome::kFull) {
-    e.limit = std::max(1.0, e.limit * kLevelCut);
+    e.limit *= kLevelCut;
+
     e.closed_from_mb = 0;
     e.closed_until = now + kFullRest;  // guards against spending every further send on one closed door
   }
