Cold engines: large commands by turns, small ones seldom; a new life clears the past

Cause: after a mass restart a third of a large fleet stood idle for as long as it warmed up: a gateway's share of the warm-up budget was less than one lookup, and restarted engines stayed doubted for what their former life had failed. Now a share under one command is saved up for small commands, and larger ones come by turns that start time and gateway number tell alike everywhere, one at a time and no more of them than fit the budget. Also catches: releases, replacements after preemption, returns from silence (the turns then differ by gateway, the mean holds). Harm: gateways with little traffic let their turn pass unused.

Upkeep of containers moved to state.cpp.

--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -80,6 +80,7 @@
 constexpr Ms kTablesHeld = 3000;       // that such news is kept: a load's usual length
 // Warm-up
 constexpr double kColdPart = 0.5;     // of the allowed work to a cold engine: the rest is for chance
+constexpr double kColdSmall = 0.05;   // of that work: commands up to this come in numbers that even out
 constexpr double kCapacity = 0.85;    // of the cores: the bench's and the operators' meaning of capacity
 constexpr double kSilentCold = 3000;  // ms of silence after which an engine may have started anew
 // Terms
@@ -102,12 +103,6 @@
 Profile& profile_of(State& s, const Command& c) { return s.profiles[c.asked.profile]; }
 const Profile& profile_of(const State& s, const Command& c) { return s.profiles[c.asked.profile]; }
 
-Command* command_of(State& s, const CommandId& id) {
-  for (const int place : s.live)
-    if (s.slab[place].asked.id == id) return &s.slab[place];
-  return nullptr;
-}
-
 bool allowed(const Profile& p, const Engine& e) {
   const auto named = [](const std::vector<std::string>& list, const std::string& name) {
     return list.empty() || std::find(list.begin(), list.end(), name) != list.end();
@@ -215,20 +210,7 @@
                        [&](const Listing& l) { return l.engine == e.id; }))
         e.life = Life::kGone;
   for (const Listing& l : r.listings) {
-    auto e = std::lower_bound(s.engines.begin(), s.engines.end(), l.engine,
-                              [](const Engine& x, uint32_t i) { return x.id < i; });
-    if (e == s.engines.end() || e->id != l.engine) {
-      const int place = static_cast<int>(e - s.engines.begin());
-      for (const int i : s.live) {
-        Command& c = s.slab[i];
-        for (int* held : {&c.engine, &c.want_engine, &c.risked_on})
-          if (*held >= place) ++*held;
-      }
-      e = s.engines.insert(e, Engine{});
-      e->id = l.engine;
-      e->cold_since = -1;
-      e->stretch = e->work_stretch = 1;
-    }
+    Engine* e = &engine_of(s, l.engine);
     e->zone = l.zone;
     e->machine = l.machine;
     const auto kind = std::find(s.machines.begin(), s.machines.end(), l.machine);
@@ -241,24 +223,21 @@
     // Guards rule 4: a start within the warm-up makes a cold engine, whether it is new or came back.
     const bool joins = e->life == Life::kGone && l.life == Life::kReady && now > 0;
     e->life = l.life;
-    if (l.born > 0 && now - l.born < s.warm_up && e->cold_since < l.born) start_cold(*e, l.born);
+    if (l.born > 0 && now - l.born < s.warm_up && e->cold_since < l.born) {
+      start_cold(*e, l.born);
+      // A new life: what the one before did tells nothing of it.
+      e->tries = e->fails = 0;
+      e->silent = false;
+    }
     if (joins) e->sign_at = now;
   }
 }
 
 void hear_taken(State& s, Ms now, const Taken& t) {
   if (t.profile < 0 || t.profile >= static_cast<int>(s.profiles.size())) return;
-  int place = static_cast<int>(s.slab.size());
-  if (s.free_places.empty()) {
-    s.slab.emplace_back();
-  } else {
-    place = s.free_places.back();
-    s.free_places.pop_back();
-  }
-  Command& c = s.slab[place] = Command{};
+  Command& c = new_place(s);
   c.asked = t;
   c.taken_at = c.held_since = now;
-  s.live.push_back(place);
   s.taken.add(now);
   predict(s, c);
 }
@@ -384,6 +363,7 @@
   s.chance.state = salt * 2 + 1;
   s.chance.next();
   s.gateways = std::max(1.0, number(a, "gateways", 1));
+  s.gateway_number = number(a, "gateway number");
   s.most_sends = static_cast<int>(number(a, "sends at most", 1));
   s.may_cancel = number(a, "may cancel") > 0;
   s.ranks = number(a, "priorities heeded") > 0;
@@ -551,18 +531,31 @@
   return s.cold_share + (1 - s.cold_share) * (now - e.cold_since) / s.warm_up;
 }
 
-// Guards rule 4: how much work this gateway may still send to an engine within the stated window, its share
-// of what a ramp from the cold share allows. A burst right after the start spends the same budget.
-Ms cold_room(const State& s, Engine& e, Ms now) {
+// Guards rule 4: whether an engine that warms up may be sent this profile's usual work: this gateway's share,
+// over any window of the stated length, of what a ramp from the cold share allows. A burst right after the
+// start spends the same. Where the share is less than one command: small ones come as seldom as the share
+// pays for them, for their number evens out; larger ones by turns, told by the engine's start and the
+// gateway's number, one at a time.
+ColdRoom cold_room(const State& s, Engine& e, Ms work, Ms now) {
   if (e.cold_since < 0 || now - e.cold_since > s.warm_up || s.fall_window <= 0) {
     e.cold_since = -1;
-    return 1e12;
+    return ColdRoom::kOpen;
+  }
+  const Ms all = kColdPart * s.fall_multiple * warmth(s, e, now) * kCapacity * e.cores * s.fall_window;
+  const Ms share = all / s.gateways, rare = s.fall_window * std::max(1.0, work / share);
+  Ms spent = 0, last = -rare;
+  std::erase_if(e.spent, [&](const auto& x) { return x.first < now - std::max(s.warm_up, rare); });
+  for (const auto& x : e.spent) {
+    if (x.first > now - s.fall_window) spent += x.second;
+    last = x.first;
   }
-  const double warm = warmth(s, e, now);
-  Ms spent = 0;
-  std::erase_if(e.spent, [&](const auto& x) { return x.first < now - s.fall_window; });
-  for (const auto& x : e.spent) spent += x.second;
-  return kColdPart * s.fall_multiple * warm * kCapacity * e.cores * s.fall_window / s.gateways - spent;
+  if (spent + work <= share) return ColdRoom::kOpen;
+  if (work <= kColdSmall * all) return now - last >= rare ? ColdRoom::kOpen : ColdRoom::kShut;
+  const double turns = std::floor(all / work);  // within the window
+  if (turns < 1) return ColdRoom::kShut;
+  const double turn = std::floor((now - e.cold_since) * turns / s.fall_window);
+  const bool mine = std::fmod(turn + e.id, s.gateways) == s.gateway_number;
+  return mine && last < e.cold_since + turn * s.fall_window / turns ? ColdRoom::kMyTurn : ColdRoom::kShut;
 }
 
 // Two drawn candidates with room, the one with less own predicted work in flight. -1: none has room.
@@ -604,7 +597,9 @@
         e.limit_met = true;
         continue;
       }
-      if (cold_room(s, e, now) < p.mean_cost || stands_still(s, c, e)) continue;
+      const ColdRoom cold = cold_room(s, e, p.mean_cost, now);
+      if (cold == ColdRoom::kShut || stands_still(s, c, e)) continue;
+      if (cold == ColdRoom::kMyTurn) return static_cast<int>(i);
       s.drawn.push_back(static_cast<int>(i));
     }
     // Guards against many gateways with a small share of each engine, whose single commands add up to a
@@ -772,11 +767,8 @@
   });
   for (Engine& e : s.engines) {
     if (e.doubted != e.told) {
-      Action& a = out.emplace_back();
-      a.text = "engine " + std::to_string(e.id) +
-               (!e.doubted ? ": trusted again"
-                : e.silent ? ": silent"
-                           : ": failing or slow");
+      const char* const word = !e.doubted ? ": trusted again" : e.silent ? ": silent" : ": failing or slow";
+      out.emplace_back().text = "engine " + std::to_string(e.id) + word;
       e.told = e.doubted;
     }
   }
--- a/src/rules.h
+++ b/src/rules.h
@@ -142,8 +142,8 @@
   int good_trials = 0;   // in a row with success, while doubted
   // Its level:
   double limit = 0;         // threads that this gateway runs there at once
-  double stretch = 0;       // recent time over time alone, mean of commands
-  double work_stretch = 0;  // the same, mean over their work
+  double stretch = 1;       // recent time over time alone, mean of commands
+  double work_stretch = 1;  // the same, mean over their work
   double usual = 1;         // stretch, with that of its kin where it has few outcomes of its own
   int kind = 0, kin = 0;    // places in the state's machines and kin
   bool limit_met = false;
@@ -151,7 +151,7 @@
   Ms closed_until = 0;  // it turned a send away, or let one wait that needs this much memory
   double closed_from_mb = 0;
   // Its warmth:
-  Ms cold_since = 0;                     // below 0: warm
+  Ms cold_since = -1;                    // below 0: warm
   std::vector<std::pair<Ms, Ms>> spent;  // while cold: when and how much work was sent
   std::array<int64_t, 4> tables{-1, -1, -1, -1};
 };
@@ -161,6 +161,8 @@
   double stretch = 1, work_stretch = 1;
 };
 
+enum class ColdRoom { kShut, kOpen, kMyTurn };
+
 enum class Want { kHold, kOut, kWithdraw, kShed, kFail };
 
 struct Command {
@@ -235,7 +237,7 @@
   Ms pool_counted_at = 0;
   Ms bell_at = 0, want_bell = 0, awake_at = 0;  // awake: since a stall of this gateway
   // Read from the articles once, since every command needs them:
-  double gateways = 1;
+  double gateways = 1, gateway_number = 0;
   int most_sends = 0;
   bool may_cancel = false, ranks = false, grants = false;
   bool budgeted = false;
@@ -251,6 +253,9 @@
 std::string word(const Articles& a, const std::string& name);
 std::vector<std::string> words(const Articles& a, const std::string& name);  // a list numbered from 0
 Profile profile_from(const Articles& a, int number);
+Engine& engine_of(State& s, uint32_t id);            // a new one takes its place by id
+Command* command_of(State& s, const CommandId& id);  // null: not in hand
+Command& new_place(State& s);                        // in the slab, the last of those in hand
 
 // ---- The module ---------------------------------------------------------------------------------
 
@@ -269,7 +274,7 @@
 bool has_turn(const State& s, const Command& c, Ms now);
 bool budget_left(State& s, Ms now);
 double warmth(const State& s, const Engine& e, Ms now);
-Ms cold_room(const State& s, Engine& e, Ms now);
+ColdRoom cold_room(const State& s, Engine& e, Ms work, Ms now);
 int choose(State& s, const Command& c, Ms now);
 
 }  // namespace firvalve
--- a/src/state.cpp
+++ b/src/state.cpp
@@ -46,6 +46,39 @@
   return p;
 }
 
+Engine& engine_of(State& s, uint32_t id) {
+  auto e = std::lower_bound(s.engines.begin(), s.engines.end(), id,
+                            [](const Engine& x, uint32_t i) { return x.id < i; });
+  if (e != s.engines.end() && e->id == id) return *e;
+  const int place = static_cast<int>(e - s.engines.begin());
+  for (const int i : s.live) {
+    Command& c = s.slab[i];
+    for (int* held : {&c.engine, &c.want_engine, &c.risked_on})
+      if (*held >= place) ++*held;
+  }
+  e = s.engines.insert(e, Engine{});
+  e->id = id;
+  return *e;
+}
+
+Command* command_of(State& s, const CommandId& id) {
+  for (const int place : s.live)
+    if (s.slab[place].asked.id == id) return &s.slab[place];
+  return nullptr;
+}
+
+Command& new_place(State& s) {
+  int place = static_cast<int>(s.slab.size());
+  if (s.free_places.empty()) {
+    s.slab.emplace_back();
+  } else {
+    place = s.free_places.back();
+    s.free_places.pop_back();
+  }
+  s.live.push_back(place);
+  return s.slab[place] = Command{};
+}
+
 uint32_t Pcg::next() {
   const uint64_t old = state;
   state = old * 6364136223846793005ULL + 1442695040888963407ULL;
