--- a/src/drill/wire.cpp
+++ b/src/drill/wire.cpp
@@ -243,21 +243,6 @@
   f.wrong("disposition", "a known outcome");
 }
 
-Report report_of(const Fields& f) {
-  static const std::pair<const char*, ReportField> kFields[] = {
-      {"utilization", kBusy}, {"x0", kMemory},          {"x1", kDisks},
-      {"backlog", kWaiting},  {"outstanding", kInHand},
-  };
-  Report report = Probed{}.told;
-  const Value* gauge = f.find("gauge");
-  if (!gauge || !gauge->IsObject()) return report;
-  for (const auto& [wire, ours] : kFields) {
-    const auto at = gauge->FindMember(wire);
-    if (at != gauge->MemberEnd() && at->value.IsNumber()) report[ours] = at->value.GetDouble();
-  }
-  return report;
-}
-
 std::vector<Listing> listings_of(const Fields& f) {
   const Value& members = f.required("members");
   if (!members.IsArray()) f.wrong("members", "a list");
@@ -371,7 +356,7 @@
     r.memory_mb = static_cast<double>(bill % 4096) * 4;
     event = r;
   } else if (name == "PROBE_RESULT") {
-    event = Probed{static_cast<uint32_t>(f.whole("engine")), outcome_of(f), report_of(f)};
+    event = Probed{static_cast<uint32_t>(f.whole("engine")), outcome_of(f)};
   } else if (name == "GONE") {
     event = ClientGone{f.command()};
   } else {
@@ -417,9 +402,6 @@
       begin("GRANT_AND_RANK"), command(), whole("importance", a.number);
       reply_.append(",\"allot_mb\":").append(std::to_string(a.memory_mb));
       break;
-    case Action::Kind::kProbe:
-      begin("TEST"), whole("engine", a.engine);
-      break;
     case Action::Kind::kBell:
       begin("SET_ALARM"), whole("wait", to_ns(a.wait)), whole("ref", a.number);
       break;
--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -65,11 +65,6 @@
 constexpr double kKinWeight = 4;  // outcomes: an engine with fewer of late is judged by its kin as well
 constexpr double kRaisePart = 0.25;   // of the level: a step up is one thread or this, the lesser
 constexpr double kShortExtra = 1.25;  // times the limit for short commands, which free it soon
-// Reports by probe
-constexpr Ms kReportFresh = 200;      // a younger report needs no new probe: engines renew theirs no oftener
-constexpr Ms kReportKept = 1500;      // an older one tells nothing: a few long commands have come and gone
-constexpr Ms kProbeWait = 40;         // for the answer; no reply by then is an answer as well
-constexpr double kReportFloor = 0.1;  // of a share, or commands a core: below this engines do not differ
 // Line
 constexpr Ms kBeat = 20;            // between looks while commands are in hand: far under any target
 constexpr Ms kEndSlack = 30;        // before the client gives up: a held command ends here at the latest
@@ -347,22 +342,6 @@
   if (r.outcome == Outcome::kTimedOut || now >= c.asked.gives_up_at - kEndSlack) c.want = Want::kFail;
 }
 
-void hear_probed(State& s, Ms now, const Probed& r) {
-  Engine& e = engine_of(s, r.engine);
-  e.probe_out = false;
-  fade(e.tries, e.fails, e.counted_at, now);
-  const bool lost = r.outcome == Outcome::kConnectFailed || r.outcome == Outcome::kReset ||
-                    r.outcome == Outcome::kTimedOut || r.outcome == Outcome::kFailed;
-  if (lost) e.tries += 1, e.fails += 1;
-  if (r.outcome != Outcome::kOk) return;
-  e.told_at = now;
-  e.told = r.told;
-  for (size_t f = 0; f < e.told.size(); ++f) {
-    if (f == kWaiting || f == kInHand) e.told[f] /= e.cores;
-    if (e.told[f] >= 0) blend(s.mean_told[f], e.told[f], kLearn);
-  }
-}
-
 // ---- Health -------------------------------------------------------------------------------------
 
 // Whether a send has run so long that its engine owed a sign of life.
@@ -387,7 +366,6 @@
   s.gateway_number = number(a, "gateway number");
   s.most_sends = static_cast<int>(number(a, "sends at most", 1));
   s.may_cancel = number(a, "may cancel") > 0;
-  s.may_probe = number(a, "may probe") > 0;
   s.ranks = number(a, "priorities heeded") > 0;
   s.grants = number(a, "grants heeded") > 0;
   s.budgeted = a.count("further sends share") > 0 || a.count("further sends free") > 0;
@@ -413,8 +391,6 @@
   if (const auto* r = std::get_if<Settled>(&event)) return hear_settled(s, now, *r);
   if (const auto* g = std::get_if<ClientGone>(&event)) {
     if (Command* c = command_of(s, g->id)) c->ended = true;
-  } else if (const auto* r = std::get_if<Probed>(&event)) {
-    hear_probed(s, now, *r);
   } else if (std::get_if<Bell>(&event)) {
     if (now >= s.bell_at) s.bell_at = 0;
   }
@@ -582,22 +558,8 @@
   return mine && last < e.cold_since + turn * s.fall_window / turns ? ColdRoom::kMyTurn : ColdRoom::kShut;
 }
 
-// What an engine's report says against the mean of those heard lately; 1 where it is old. Guards against
-// engines that others have filled: of those a gateway with a small part of the traffic has no work of its own
-// to tell.
-double told_crowd(const State& s, const Engine& e, Ms now) {
-  if (e.told_at < 0 || now - e.told_at > kReportKept) return 1;
-  double sum = 0, fields = 0;
-  for (size_t f = 0; f < e.told.size(); ++f) {
-    if (e.told[f] < 0) continue;
-    sum += (e.told[f] + kReportFloor) / (s.mean_told[f] + kReportFloor);
-    fields += 1;
-  }
-  return fields > 0 ? sum / fields : 1;
-}
-
 // Two drawn candidates with room, the one with less own predicted work in flight. -1: none has room.
-int choose(State& s, Command& c, Ms now) {
+int choose(State& s, const Command& c, Ms now) {
   const Profile& p = profile_of(s, c);
   const bool quick = is_short(s, c);
   const bool trial_fits = p.effect == Effect::kReplayable && quick;
@@ -649,34 +611,13 @@
     }
     if (s.drawn.empty()) continue;
     const size_t count = s.drawn.size();
-    size_t one = s.chance.next() % count;
-    size_t two = count > 1 ? (one + 1 + s.chance.next() % (count - 1)) % count : one;
-    if (s.may_probe && !quick) {
-      const auto drawn = [&](int i) {
-        return std::find(s.drawn.begin(), s.drawn.end(), i) - s.drawn.begin();
-      };
-      if (c.probed_at < 0) {
-        c.probed = {s.drawn[one], s.drawn[two]};
-        c.probed_at = now;
-        for (const int i : c.probed) s.engines[i].want_probe |= s.engines[i].told_at < now - kReportFresh;
-      }
-      const bool answered = std::all_of(c.probed.begin(), c.probed.end(), [&](int i) {
-        return s.engines[i].told_at >= c.probed_at - kReportFresh;
-      });
-      if (!answered && now < c.probed_at + kProbeWait) return -1;
-      const size_t first = static_cast<size_t>(drawn(c.probed[0]));
-      const size_t second = static_cast<size_t>(drawn(c.probed[1]));
-      if (first < count || second < count) {
-        one = first < count ? first : second;
-        two = second < count ? second : first;
-      }
-    }
+    const size_t one = s.chance.next() % count;
+    const size_t two = count > 1 ? (one + 1 + s.chance.next() % (count - 1)) % count : one;
     const auto load = [&](int i) {
       const Engine& e = s.engines[i];
       const bool warm = c.asked.tables >= 0 &&
                         std::find(e.tables.begin(), e.tables.end(), c.asked.tables) != e.tables.end();
-      return (e.work_out + c.cost * (warm ? kWarmTables : 1)) * std::max(1.0, e.usual) *
-             told_crowd(s, e, now) / e.cores;
+      return (e.work_out + c.cost * (warm ? kWarmTables : 1)) * std::max(1.0, e.usual) / e.cores;
     };
     return load(s.drawn[one]) <= load(s.drawn[two]) ? s.drawn[one] : s.drawn[two];
   }
@@ -825,17 +766,10 @@
     return true;
   });
   for (Engine& e : s.engines) {
-    if (e.want_probe && !e.probe_out) {
-      Action& a = out.emplace_back();
-      a.kind = Action::Kind::kProbe;
-      a.engine = e.id;
-      e.probe_out = true;
-    }
-    e.want_probe = false;
-    if (e.doubted != e.logged) {
+    if (e.doubted != e.told) {
       const char* const word = !e.doubted ? ": trusted again" : e.silent ? ": silent" : ": failing or slow";
       out.emplace_back().text = "engine " + std::to_string(e.id) + word;
-      e.logged = e.doubted;
+      e.told = e.doubted;
     }
   }
   if (s.want_bell > 0 && s.bell_at == 0) {
--- a/src/rules.h
+++ b/src/rules.h
@@ -67,14 +67,9 @@
   Ms work = 0;  // what the answer says it cost; 0: not told
   double memory_mb = 0;
 };
-// An engine's report: shares of its cores, memory and disks in use, commands waiting and in hand; -1: not
-// told.
-enum ReportField { kBusy, kMemory, kDisks, kWaiting, kInHand, kReportFields };
-using Report = std::array<double, kReportFields>;
 struct Probed {
   uint32_t engine = 0;
   Outcome outcome = Outcome::kOk;
-  Report told{-1, -1, -1, -1, -1};
 };
 struct ClientGone {
   CommandId id;
@@ -87,7 +82,7 @@
 // ---- Actions ------------------------------------------------------------------------------------
 
 struct Action {
-  enum class Kind { kSend, kWithdraw, kShed, kFail, kRank, kProbe, kBell, kLog };
+  enum class Kind { kSend, kWithdraw, kShed, kFail, kRank, kBell, kLog };
   Kind kind = Kind::kLog;
   CommandId id;
   uint32_t engine = 0;
@@ -141,7 +136,7 @@
   Ms sign_at = 0;        // last sign of life
   bool doubted = false;  // gets one trial at a time
   bool silent = false;   // and owes a sign of life
-  bool logged = false;   // the doubt as last logged
+  bool told = false;     // the doubt as last logged
   Ms trial_at = 0;       // the next trial
   int trials = 0;        // in a row without success
   int good_trials = 0;   // in a row with success, while doubted
@@ -155,10 +150,6 @@
   Ms limit_moved_at = 0;
   Ms closed_until = 0;  // it turned a send away, or let one wait that needs this much memory
   double closed_from_mb = 0;
-  // Its load as it told, counts to a core:
-  Report told{-1, -1, -1, -1, -1};
-  Ms told_at = -1;
-  bool want_probe = false, probe_out = false;
   // Its warmth:
   Ms cold_since = -1;                    // below 0: warm
   std::vector<std::pair<Ms, Ms>> spent;  // while cold: when and how much work was sent
@@ -184,8 +175,6 @@
   // Present state:
   bool out = false, withdrawn = false, ended = false;
   int sends = 0, engine = -1;
-  std::array<int, 2> probed{-1, -1};  // the engines drawn and asked for their reports
-  Ms probed_at = -1;
   Ms sent_at = 0, noted_at = 0;
   double share_done = 0;
   bool waited = false, waiting = false,
@@ -250,8 +239,7 @@
   // Read from the articles once, since every command needs them:
   double gateways = 1, gateway_number = 0;
   int most_sends = 0;
-  Report mean_told{};
-  bool may_probe = false, may_cancel = false, ranks = false, grants = false;
+  bool may_cancel = false, ranks = false, grants = false;
   bool budgeted = false;
   double budget_free = 0, budget_share = 0;
   Ms budget_window = 0, key_rest = 0, note_period = 0;
@@ -287,6 +275,6 @@
 bool budget_left(State& s, Ms now);
 double warmth(const State& s, const Engine& e, Ms now);
 ColdRoom cold_room(const State& s, Engine& e, Ms work, Ms now);
-int choose(State& s, Command& c, Ms now);
+int choose(State& s, const Command& c, Ms now);
 
 }  // namespace firvalve
--- a/src/state.cpp
+++ b/src/state.cpp
@@ -53,7 +53,7 @@
   const int place = static_cast<int>(e - s.engines.begin());
   for (const int i : s.live) {
     Command& c = s.slab[i];
-    for (int* held : {&c.engine, &c.want_engine, &c.risked_on, &c.probed[0], &c.probed[1]})
+    for (int* held : {&c.engine, &c.want_engine, &c.risked_on})
       if (*held >= place) ++*held;
   }
   e = s.engines.insert(e, Engine{});
