News found after a stall of the gateway itself teaches no stretch

Now outcomes and notes heard at the first moment after a stall move neither yardstick nor stretch. Harm: a gateway that stalls most of the time learns slowly.

--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -141,8 +141,10 @@
   s.heavy_work = s.heavy_work * kWorkFade + (c.heavy ? c.cost : 0);
 }
 
-void learn(State& s, const Command& c, const Settled& r) {
+void learn(State& s, Ms now, const Command& c, const Settled& r) {
   Profile& p = profile_of(s, c);
+  const bool late = now == s.awake_at;
+  if (late && r.work <= 0) return;
   const Ms work = r.work > 0 ? r.work : r.took * p.threads;
   blend(p.mean_work, work, kLearn);
   const double ratio =
@@ -154,7 +156,7 @@
   // mean rises with the crowding that it should show. The quickest stretch of outcomes is the yardstick.
   p.told = r.work > 0;
   const double slowness = p.told ? r.took * p.threads / r.work : ratio;
-  if (slowness > 0) {
+  if (slowness > 0 && !late) {
     p.window_sum += std::log(slowness);
     if (++p.window_count == kBaseWindow) {
       const double mean = std::exp(p.window_sum / kBaseWindow);
@@ -162,6 +164,7 @@
       p.window_sum = p.window_count = 0;
     }
   }
+  if (late) return;
   Engine& e = s.engines[c.engine];
   Kin& kin = s.kin[e.kin];
   const Ms by_itself = p.told ? r.work / p.threads * std::max(1.0, p.base) : c.alone;
@@ -250,7 +253,7 @@
   if (n.kind == NoteKind::kProgress) c->share_done = n.value;
   // Guards against a crowd of long commands that shows in no outcome for as long as they run. A pace far off
   // the engine's own is more likely a bad plan.
-  if (n.kind == NoteKind::kProgress && n.value > 0 && !c->waited) {
+  if (n.kind == NoteKind::kProgress && n.value > 0 && !c->waited && now != s.awake_at) {
     Engine& e = s.engines[c->engine];
     const double seen = (now - c->sent_at) / (n.value * std::max(1.0, c->alone));
     for (double* pace : {&e.work_stretch, &s.kin[e.kin].work_stretch})
@@ -315,7 +318,7 @@
       e.trial_at = now;
       if (++e.good_trials >= kTrialsGood) e.fails = e.good_trials = 0;
     }
-    learn(s, c, r);
+    learn(s, now, c, r);
   }
   if (r.outcome == Outcome::kOk || r.outcome == Outcome::kFailed || r.outcome == Outcome::kFull)
     e.sign_at = now;
@@ -385,6 +388,9 @@
 }
 
 void hear(State& s, Ms now, const Event& event) {
+  // Guards against a stall of this gateway itself: what it finds then came at some time before, so neither
+  // times taken nor paces of that moment tell of the engines.
+  if (s.want_bell > 0 && now > s.want_bell + kStall) s.awake_at = now;
   if (const auto* r = std::get_if<Roster>(&event)) return hear_roster(s, now, *r);
   if (const auto* t = std::get_if<Taken>(&event)) return hear_taken(s, now, *t);
   if (const auto* n = std::get_if<Note>(&event)) return hear_note(s, now, *n);
@@ -708,7 +714,6 @@
 void decide(State& s, Ms now, Actions& out) {
   std::erase_if(s.held_tables, [&](const HeldTables& h) { return now >= h.until; });
   std::erase_if(s.key_rests, [&](const KeyRest& k) { return now >= k.until; });
-  if (s.want_bell > 0 && now > s.want_bell + kStall) s.awake_at = now;
   judge_engines(s, now);
   draw_pool(s);
   review_out(s, now);
--- a/src/rules.h
+++ b/src/rules.h
@@ -235,7 +235,7 @@
   double heavy_work = 0, all_work = 0;  // fading sums of predicted work
   double pool_sends = 0, pool_bad = 0;  // fading counts
   Ms pool_counted_at = 0;
-  Ms bell_at = 0, want_bell = 0, awake_at = 0;  // awake: since a stall of this gateway
+  Ms bell_at = 0, want_bell = 0, awake_at = -1;  // awake: since a stall of this gateway
   // Read from the articles once, since every command needs them:
   double gateways = 1, gateway_number = 0;
   int most_sends = 0;
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -394,8 +394,8 @@
   EXPECT_FALSE(s.engines[0].doubted);
   c.waiting = false;
   s.want_bell = 20;
-  Actions out;
-  decide(s, 5000, out);
+  hear(s, 5000, Bell{});
+  judge_engines(s, 5000);
   EXPECT_FALSE(s.engines[0].doubted);
   judge_engines(s, 6000);
   EXPECT_TRUE(s.engines[0].doubted);
@@ -494,6 +494,18 @@
   EXPECT_GT(s.engines[0].stretch, 1);
 }
 
+TEST(Level, TimesTakenAcrossAStallOfTheGatewayTellNothing) {
+  State s = state_with(1, {profile(Effect::kReplayable)});
+  Command& c = add_command(s);
+  put_out(s, c, 0, 0);
+  s.want_bell = 20;
+  Settled r = std::get<Settled>(settled(c, Outcome::kOk));
+  r.took = 2000;
+  hear(s, 2000, r);
+  EXPECT_EQ(s.engines[0].stretch, 1);
+  EXPECT_EQ(s.profiles[0].correction, 0);
+}
+
 TEST(Level, SmallSharesOfManyEnginesHoldTogether) {
   State s = state_with(4, {profile(Effect::kReplayable)});
   for (Engine& e : s.engines) e.limit = 0.2;
