A guessed yardstick from the first outcomes; crowded engines yield to easy ones

(1) Until twenty outcomes of a profile a gateway had no yardstick and took crowded latencies for normal: with a hundred gateways some ran a hundred threads while others stood at three. The yardstick is now guessed from the first outcomes, from 1. Harm: a gateway that misjudges its kin herds to the rest.

--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -24,6 +24,7 @@
 constexpr double kLearn = 0.03;       // share of a new outcome in a running mean: some 30 outcomes
 constexpr double kRatioMost = 20;     // times; a single outcome tells no more than this about a mean
 constexpr int kBaseWindow = 20;       // outcomes whose mean is one reading of the uncrowded ratio
+constexpr double kBaseGuess = 3;      // outcomes that the guess of 1 counts for, until the first reading
 constexpr double kBaseDrift = 1.01;   // a window: the yardstick is forgotten within some hundred windows
 constexpr size_t kRecent = 512;       // commands; the top share is taken among these
 constexpr size_t kRecentLeast = 32;   // commands; fewer give no top share
@@ -158,9 +159,12 @@
   const double slowness = p.told ? r.took * p.threads / r.work : ratio;
   if (slowness > 0 && !late) {
     p.window_sum += std::log(slowness);
-    if (++p.window_count == kBaseWindow) {
+    p.window_count += 1;
+    if (!p.base_read) p.base = std::exp(p.window_sum / (p.window_count + kBaseGuess));
+    if (p.window_count == kBaseWindow) {
       const double mean = std::exp(p.window_sum / kBaseWindow);
-      p.base = p.base > 0 ? std::min(mean, p.base * kBaseDrift) : mean;
+      p.base = p.base_read ? std::min(mean, p.base * kBaseDrift) : mean;
+      p.base_read = true;
       p.window_sum = p.window_count = 0;
     }
   }
@@ -432,7 +436,8 @@
     e.doubted = doubted;
     // The level: down while its sends crowd each other, up while it binds and they do not.
     const double least = kLevelLeast * e.cores / s.gateways;
-    const double crowding = std::max(e.usual, with_kin(e, e.work_stretch, s.kin[e.kin].work_stretch));
+    const double crowding = e.crowding =
+        std::max(e.usual, with_kin(e, e.work_stretch, s.kin[e.kin].work_stretch));
     if (crowding > kStretchHigh && now - e.limit_moved_at > kLevelCutWait) {
       e.limit *= kLevelCut;
       e.limit_moved_at = now;
@@ -616,6 +621,11 @@
       continue;
     }
     if (s.drawn.empty()) continue;
+    // Guards against filling machines that some commands are bound to while others stand half idle: crowded
+    // engines take nothing that has room on one that is not.
+    const auto easy = [&](int i) { return s.engines[i].crowding < kStretchLow; };
+    if (std::any_of(s.drawn.begin(), s.drawn.end(), easy))
+      std::erase_if(s.drawn, [&](int i) { return s.engines[i].crowding > kStretchHigh; });
     const size_t count = s.drawn.size();
     const size_t one = s.chance.next() % count;
     const size_t two = count > 1 ? (one + 1 + s.chance.next() % (count - 1)) % count : one;
--- a/src/rules.h
+++ b/src/rules.h
@@ -114,8 +114,9 @@
   double memory_correction = 0;  // the same for memory
   Ms mean_cost = 0;              // running mean of predicted cost
   Ms mean_work = 0;              // running mean of true cost, for commands that carry no estimate
-  double base = 0;    // of latency x threads to the estimate, in the quickest stretch so far: uncrowded
-  bool told = false;  // answers tell the cost: base is then of latency x threads to it
+  double base = 0;         // of latency x threads to the estimate, in the quickest stretch so far: uncrowded
+  bool base_read = false;  // a whole reading was taken
+  bool told = false;       // answers tell the cost: base is then of latency x threads to it
   double window_sum = 0;
   int window_count = 0;
 };
@@ -144,6 +145,7 @@
   double limit = 0;         // threads that this gateway runs there at once
   double stretch = 1;       // recent time over time alone, mean of commands
   double work_stretch = 1;  // the same, mean over their work
+  double crowding = 1;      // the worse of the two, as the level takes it
   double usual = 1;         // stretch, with that of its kin where it has few outcomes of its own
   int kind = 0, kin = 0;    // places in the state's machines and kin
   bool limit_met = false;
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -506,6 +506,28 @@
   EXPECT_EQ(s.profiles[0].correction, 0);
 }
 
+TEST(Level, YardstickIsGuessedUntilThereIsAReading) {
+  State s = state_with(1, {profile(Effect::kReplayable)});
+  for (int i = 0; i < 5; ++i) {
+    Command& c = add_command(s);
+    c.asked.estimate = 100;
+    put_out(s, c, 0, 0);
+    Settled r = std::get<Settled>(settled(c, Outcome::kOk));
+    r.took = 400;
+    hear(s, 400, r);
+  }
+  EXPECT_GT(s.profiles[0].base, 1.5);  // towards 4, from 1
+  EXPECT_LT(s.profiles[0].base, 4);
+}
+
+TEST(Level, CrowdedEnginesTakeNothingThatHasRoomOnOthers) {
+  State s = state_with(4, {profile(Effect::kReplayable)});
+  for (int i : {0, 1, 2}) s.engines[static_cast<size_t>(i)].crowding = 3;
+  for (int i = 0; i < 8; ++i) EXPECT_EQ(choose(s, add_command(s), 10), 3);
+  s.engines[3].closed_until = 100;
+  EXPECT_GE(choose(s, add_command(s), 10), 0);
+}
+
 TEST(Level, SmallSharesOfManyEnginesHoldTogether) {
   State s = state_with(4, {profile(Effect::kReplayable)});
   for (Engine& e : s.engines) e.limit = 0.2;
