--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -84,9 +84,6 @@
 constexpr double kColdSmall = 0.05;   // of that work: commands up to this come in numbers that even out
 constexpr double kCapacity = 0.85;    // of the cores: the bench's and the operators' meaning of capacity
 constexpr double kSilentCold = 3000;  // ms of silence after which an engine may have started anew
-// Homes of tables
-constexpr double kHomesLeast = 2;  // engines: two to draw from
-constexpr double kHomesSlack = 2;  // times the tables' share of the engines: demand comes unevenly
 // Terms
 constexpr int kRankShort = 3;          // short commands first where cores or disks are short
 constexpr int kRankOther = 1;          // the default: the rest are held back in line, not on the engine
@@ -137,13 +134,9 @@
   blend(p.mean_cost, c.alone * p.threads, kLearn);
   if (s.recent_costs.size() < kRecent) {
     s.recent_costs.push_back(c.cost);
-    s.recent_tables.push_back(c.asked.tables);
   } else {
-    s.recent_tables[s.recent_next % kRecent] = c.asked.tables;
     s.recent_costs[s.recent_next++ % kRecent] = c.cost;
   }
-  c.demand = static_cast<double>(std::count(s.recent_tables.begin(), s.recent_tables.end(), c.asked.tables)) /
-             static_cast<double>(s.recent_tables.size());
   c.heavy = p.is_load || (s.heavy_from > 0 && c.cost >= s.heavy_from);
   s.all_work = s.all_work * kWorkFade + c.cost;
   s.heavy_work = s.heavy_work * kWorkFade + (c.heavy ? c.cost : 0);
@@ -576,12 +569,6 @@
   return mine && last < e.cold_since + turn * s.fall_window / turns ? ColdRoom::kMyTurn : ColdRoom::kShut;
 }
 
-uint32_t home_order(const Command& c, const Engine& e) {
-  Pcg order{static_cast<uint64_t>(c.asked.tables) << 32 ^ e.id};
-  order.next();
-  return order.next();
-}
-
 // Two drawn candidates with room, the one with less own predicted work in flight. -1: none has room.
 int choose(State& s, const Command& c, Ms now) {
   const Profile& p = profile_of(s, c);
@@ -639,20 +626,7 @@
     const auto easy = [&](int i) { return s.engines[i].crowding < kStretchLow; };
     if (std::any_of(s.drawn.begin(), s.drawn.end(), easy))
       std::erase_if(s.drawn, [&](int i) { return s.engines[i].crowding > kStretchHigh; });
-    // Candidates are drawn among the homes of the command's tables: the first engines with room in an order
-    // that
-    // every gateway draws alike, so that the few tables an engine keeps warm are read there again. Tables
-    // much in demand have more homes. Loads stand still behind each other on one engine: they are spread.
-    size_t count = s.drawn.size();
-    if (c.asked.tables >= 0 && !p.is_load) {
-      const double homes = kHomesLeast + kHomesSlack * c.demand * static_cast<double>(count);
-      const size_t first = std::min(count, static_cast<size_t>(homes));
-      std::nth_element(
-          s.drawn.begin(), s.drawn.begin() + static_cast<long>(first - 1), s.drawn.end(),
-          [&](int a, int b) { return home_order(c, s.engines[a]) < home_order(c, s.engines[b]); });
-      count = first;
-    }
-
+    const size_t count = s.drawn.size();
     const size_t one = s.chance.next() % count;
     const size_t two = count > 1 ? (one + 1 + s.chance.next() % (count - 1)) % count : one;
     const auto load = [&](int i) {
--- a/src/rules.h
+++ b/src/rules.h
@@ -173,7 +173,6 @@
   Ms cost = 0;   // predicted
   Ms alone = 0;  // predicted time on an engine by itself
   bool heavy = false;
-  double demand = 0;  // share of recent commands that read the same tables
   Ms held_since = 0;
   // Present state:
   bool out = false, withdrawn = false, ended = false;
@@ -232,7 +231,6 @@
   std::vector<HeldTables> held_tables;  // by loads, as waiting sends have told
   Moments taken, further;               // for the budget of further sends
   std::vector<Ms> recent_costs, sorted_costs;
-  std::vector<int64_t> recent_tables;
   size_t recent_next = 0;
   Ms heavy_from = 0;
   double usual_stretch = 1;             // the median of the engines
