--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -150,13 +150,7 @@
   blend(p.mean_work, work, kLearn);
   const double ratio =
       c.asked.estimate > 0 ? std::clamp(work / c.asked.estimate, 1 / kRatioMost, kRatioMost) : 0;
-  // The mean of true over that of estimated cost: a mean of the ratios would be made by the few estimates
-  // that are
-  // far too low, and what is predicted far too long is shed as past hope.
-  if (ratio > 0) {
-    blend(p.mean_estimate, c.asked.estimate, kLearn);
-    p.correction = p.mean_work / p.mean_estimate;
-  }
+  if (ratio > 0) blend(p.correction, ratio, kLearn);
   if (r.memory_mb > 0 && c.asked.memory_mb > 0)
     blend(p.memory_correction, std::min(r.memory_mb / c.asked.memory_mb, kRatioMost), kLearn);
   // Guards against calling a crowd normal: where the answer tells no cost, latency stands in for it, and its
@@ -681,7 +675,7 @@
   if (s.line.empty()) return;
   const auto late = [&](const Command& c) {
     const Profile& p = profile_of(s, c);
-    return now + c.alone * s.usual_stretch > c.taken_at + p.latency_target + p.target_stretch * c.alone;
+    return now + c.alone > c.taken_at + p.latency_target + p.target_stretch * c.alone;
   };
   const auto worth = [&](int place) {
     const Command& c = s.slab[place];
--- a/src/rules.h
+++ b/src/rules.h
@@ -113,7 +113,6 @@
   double correction = 0;         // running mean of true over estimated cost
   double memory_correction = 0;  // the same for memory
   Ms mean_cost = 0;              // running mean of predicted cost
-  Ms mean_estimate = 0;          // of the commands that ended
   Ms mean_work = 0;              // running mean of true cost, for commands that carry no estimate
   double base = 0;         // of latency x threads to the estimate, in the quickest stretch so far: uncrowded
   bool base_read = false;  // a whole reading was taken
