Grants that cover nineteen of twenty commands, learned by profile

A running quantile of the memory needed over the estimate takes the place of a margin on the mean: the scatter of estimates differs by site, the price of a spill does not. Starts at 1.4.

--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -87,7 +87,9 @@
 // Terms
 constexpr int kRankShort = 3;         // short commands first where cores or disks are short
 constexpr int kRankOther = 1;         // the default: the rest are held back in line, not on the engine
-constexpr double kGrantMargin = 1.4;  // over the predicted memory: short of it a command spills
+constexpr double kGrantStart = 1.4;   // times the estimate, until outcomes tell better
+constexpr double kGrantCover = 0.95;  // of commands get all the memory they need
+constexpr double kGrantLearn = 0.05;  // step towards it: settles within some hundred outcomes
 constexpr double kWarmTables = 0.85;  // of the work: what tables seen lately save
 
 void blend(double& mean, double sample, double share) {
@@ -151,8 +153,10 @@
   const double ratio =
       c.asked.estimate > 0 ? std::clamp(work / c.asked.estimate, 1 / kRatioMost, kRatioMost) : 0;
   if (ratio > 0) blend(p.correction, ratio, kLearn);
+  // A high quantile, not a mean: what falls short spills, and that costs far more than memory lying idle.
   if (r.memory_mb > 0 && c.asked.memory_mb > 0)
-    blend(p.memory_correction, std::min(r.memory_mb / c.asked.memory_mb, kRatioMost), kLearn);
+    p.grant *= r.memory_mb > p.grant * c.asked.memory_mb ? 1 + kGrantLearn * kGrantCover
+                                                         : 1 - kGrantLearn * (1 - kGrantCover);
   // Guards against calling a crowd normal: where the answer tells no cost, latency stands in for it, and its
   // mean rises with the crowding that it should show. The quickest stretch of outcomes is the yardstick.
   p.told = r.work > 0;
@@ -387,7 +391,7 @@
   s.fall_window = number(a, "fall window");
   s.shed_advice = number(a, "may advise") > 0 ? number(a, "longest advice") : 0;
   for (int i = 0; a.count("profile." + std::to_string(i) + ".name"); ++i)
-    s.profiles.push_back(profile_from(a, i));
+    s.profiles.emplace_back(profile_from(a, i)).grant = kGrantStart;
   return s;
 }
 
@@ -710,8 +714,7 @@
     c.want = Want::kOut;
     c.want_engine = i;
     c.want_rank = is_short(s, c) ? kRankShort : kRankOther;
-    const double memory = c.asked.memory_mb * (p.memory_correction > 0 ? p.memory_correction : 1);
-    c.want_grant_mb = s.grants ? memory * kGrantMargin : 0;
+    c.want_grant_mb = s.grants ? c.asked.memory_mb * p.grant : 0;
     Engine& e = s.engines[i];
     e.sends_out += 1;
     e.threads_out += p.threads;
--- a/src/rules.h
+++ b/src/rules.h
@@ -110,10 +110,10 @@
   int threads = 0;
   std::vector<std::string> zones, machines;  // where it may run; empty: anywhere
   // Learned:
-  double correction = 0;         // running mean of true over estimated cost
-  double memory_correction = 0;  // the same for memory
-  Ms mean_cost = 0;              // running mean of predicted cost
-  Ms mean_work = 0;              // running mean of true cost, for commands that carry no estimate
+  double correction = 0;   // running mean of true over estimated cost
+  double grant = 0;        // of the estimated memory that covers most commands
+  Ms mean_cost = 0;        // running mean of predicted cost
+  Ms mean_work = 0;        // running mean of true cost, for commands that carry no estimate
   double base = 0;         // of latency x threads to the estimate, in the quickest stretch so far: uncrowded
   bool base_read = false;  // a whole reading was taken
   bool told = false;       // answers tell the cost: base is then of latency x threads to it
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -554,6 +554,22 @@
   EXPECT_EQ(s.engines[1].limit, 16);
 }
 
+TEST(Terms, GrantCoversMostOfWhatIsNeeded) {
+  State s = state_with(1, {profile(Effect::kReplayable)});
+  s.profiles[0].grant = 1;
+  for (int i = 0; i < 400; ++i) {
+    Command& c = add_command(s);
+    c.asked.memory_mb = 100;
+    put_out(s, c, 0, 0);
+    Settled r = std::get<Settled>(settled(c, Outcome::kOk));
+    r.memory_mb = i % 10 == 0 ? 190 : 110;  // one in ten needs far more
+    hear(s, 100, r);
+    s.live.clear();
+    s.slab.clear();
+  }
+  EXPECT_GT(s.profiles[0].grant, 1.6);
+}
+
 TEST(Slab, PlacesAreUsedAgain) {
   State s = state_with(1, {profile(Effect::kReplayable)});
   Taken t;
