Moves for want of memory rest in between; uniqued commands move, too

Cause: a command spent its six sends within 50 ms and then stood wherever the last had fallen; loads did not move at all. Others ruled out: no engine was doubted in the whole record, and cold engines had taken their turns. Now each move rests a quarter of the command's own time longer than the one before, and a uniqued command that stands still moves inside its window. Harm: where every engine is short a command starts up to its own length later.

--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -76,6 +76,7 @@
 constexpr double kBlind = 4;           // times the predicted and the usual time without a word of progress
 constexpr Ms kBadPlanLeast = 300;      // running time below which nothing is withdrawn
 constexpr int kWithdrawMost = 2;       // withdrawals before the estimate is blamed instead
+constexpr double kMoveRest = 0.25;     // of its time alone, times the moves so far: in all about its length
 constexpr double kWaitsForMemory = 1;  // the note's word for standing in the engine's line for memory
 constexpr double kWaitsForLoad = 2;    // the note's word for standing still while a load holds the tables
 constexpr Ms kTablesHeld = 3000;       // that such news is kept: a load's usual length
@@ -178,20 +179,13 @@
   const Ms by_itself = p.told ? r.work / p.threads * std::max(1.0, p.base) : c.alone;
   // Two means: short commands of high priority glide past a crowd that holds up all others, and where no
   // priority is heeded they are the first to feel one. Work that is only guessed adds noise to the weight.
+  // Notes come from the commands that last: their quicker kin must count, too, or a level once cut stays cut.
   if (!c.waited) {
     const double stretch = std::min(r.took / std::max(by_itself, 1.0), kStretchMost);
-    const double weight = kStretchLearn * r.work / std::max(1.0, s.all_work * (1 - kWorkFade));
-    blend_stretch(p, e.stretch, stretch, kStretchLearn);
-    blend_stretch(p, kin.stretch, stretch, kStretchLearn);
-    // Notes come from the commands that last: their quicker kin must count, too, or a level once cut stays
-    // cut.
-    if (r.work > 0) {
-      blend_stretch(p, e.work_stretch, stretch, std::min(weight, kStretchJump));
-      blend_stretch(p, kin.work_stretch, stretch, std::min(weight, kStretchJump));
-    } else if (p.threads > 1) {
-      blend_stretch(p, e.work_stretch, stretch, kStretchLearn);
-      blend_stretch(p, kin.work_stretch, stretch, kStretchLearn);
-    }
+    const double of_work = kStretchLearn * r.work / std::max(1.0, s.all_work * (1 - kWorkFade));
+    const double weight = p.told ? std::min(of_work, kStretchJump) : p.threads > 1 ? kStretchLearn : 0;
+    for (double* mean : {&e.stretch, &kin.stretch}) blend_stretch(p, *mean, stretch, kStretchLearn);
+    for (double* mean : {&e.work_stretch, &kin.work_stretch}) blend_stretch(p, *mean, stretch, weight);
   }
   e.tables[static_cast<size_t>(c.sends + c.taken_at) % e.tables.size()] = c.asked.tables;
 }
@@ -256,33 +250,31 @@
 void hear_note(State& s, Ms now, const Note& n) {
   Command* c = command_of(s, n.id);
   if (!c || !c->out || n.send != c->sends - 1) return;
-  s.engines[c->engine].sign_at = now;
-  c->noted_at = now;
-  if (n.kind == NoteKind::kProgress) c->share_done = n.value;
-  // Guards against a crowd of long commands that shows in no outcome for as long as they run. A pace far off
-  // the engine's own is more likely a bad plan.
-  if (n.kind == NoteKind::kProgress && n.value > 0 && !c->waited && now != s.awake_at) {
-    Engine& e = s.engines[c->engine];
-    const double seen = (now - c->sent_at) / (n.value * std::max(1.0, c->alone));
-    for (double* pace : {&e.work_stretch, &s.kin[e.kin].work_stretch})
-      blend_stretch(profile_of(s, *c), *pace, std::min({seen, kStretchMost, kBadPlan * *pace}),
-                    kStretchLearn);
-  }
-  if (n.kind == NoteKind::kWaits) c->waited = true;
+  Engine& e = s.engines[c->engine];
+  e.sign_at = c->noted_at = now;
   c->waiting = n.kind == NoteKind::kWaits;
-  // Guards against standing in a line for memory behind others' heavy commands while other engines have some:
-  // it has done nothing yet and goes elsewhere at no loss. What needs less may still fit here.
-  if (c->waiting && n.value == kWaitsForMemory) {
+  double seen = 0;  // a sample of the stretch
+  if (n.kind == NoteKind::kProgress) {
+    c->share_done = n.value;
+    // Guards against a crowd of long commands that shows in no outcome for as long as they run. A pace far
+    // off the engine's own is more likely a bad plan.
+    const bool tells = n.value > 0 && !c->waited && now != s.awake_at;
+    if (tells) seen = std::min(kStretchMost, (now - c->sent_at) / (n.value * std::max(1.0, c->alone)));
+  } else if (c->waiting && n.value == kWaitsForMemory) {
+    // Guards against standing in a line for memory behind others' heavy commands while other engines have
+    // some: it has done nothing yet and goes elsewhere at no loss. What needs less may still fit here.
     c->stuck = true;
-    s.engines[c->engine].closed_until = now + kFullRest;
-    s.engines[c->engine].closed_from_mb = c->asked.memory_mb;
-    for (double* crowd : {&s.engines[c->engine].work_stretch, &s.kin[s.engines[c->engine].kin].work_stretch})
-      blend(*crowd, kStretchNoMemory, kStretchLearn);
-  }
-  if (n.kind == NoteKind::kWaits && n.value == kWaitsForLoad && !stands_still(s, *c, s.engines[c->engine])) {
-    s.held_tables.push_back({s.engines[c->engine].id, c->asked.tables, now + kTablesHeld});
+    e.closed_until = now + kFullRest;
+    e.closed_from_mb = c->asked.memory_mb;
+    seen = kStretchNoMemory;
+  } else if (c->waiting && n.value == kWaitsForLoad && !stands_still(s, *c, e)) {
+    s.held_tables.push_back({e.id, c->asked.tables, now + kTablesHeld});
     c->stuck = true;
   }
+  c->waited |= c->waiting;
+  if (seen <= 0) return;
+  for (double* pace : {&e.work_stretch, &s.kin[e.kin].work_stretch})
+    blend_stretch(profile_of(s, *c), *pace, std::min(seen, kBadPlan * *pace), kStretchLearn);
 }
 
 void fade(double& a, double& b, Ms& counted_at, Ms now) {
@@ -653,9 +645,15 @@
     const Engine& e = s.engines[c.engine];
     const Ms ran = now - c.sent_at, left = c.asked.gives_up_at - now;
     const Ms again = c.alone * std::max(1.0, e.usual);
-    if (p.effect != Effect::kReplayable || c.sends >= s.most_sends || left < again) continue;
+    // A uniqued command that stands still has not begun: it, too, may go elsewhere inside its window.
+    const bool movable = p.effect == Effect::kUniqued && p.group == Group::kAll && c.stuck &&
+                         now + kRepeatSlack < (c.may_have_run ? c.risked_at : c.sent_at) + p.repeat_window;
+    if ((p.effect != Effect::kReplayable && !movable) || c.sends >= s.most_sends || left < again) continue;
     if (c.stuck || (e.silent && overdue(s, c, e, now))) {
       if (budget_left(s, now)) c.want = Want::kWithdraw;
+      // Guards against spending all sends within moments on engines that are full alike: each move waits
+      // longer.
+      if (c.stuck) c.rest_until = now + kMoveRest * c.alone * c.moves++;
       continue;
     }
     if (ran < kBadPlanLeast || c.withdrawals >= kWithdrawMost) continue;
@@ -707,7 +705,7 @@
       if (now - c.taken_at >= kHeavyHold) end(s, c);
       continue;
     }
-    if (!has_turn(s, c, now) || (c.sends > 0 && !budget_left(s, now))) continue;
+    if (now < c.rest_until || !has_turn(s, c, now) || (c.sends > 0 && !budget_left(s, now))) continue;
     const int i = choose(s, c, now);
     if (i < 0) continue;
     if (c.sends > 0) s.further.add(now);  // here, so that the next in line sees it
--- a/src/rules.h
+++ b/src/rules.h
@@ -180,8 +180,9 @@
   Ms sent_at = 0, noted_at = 0;
   double share_done = 0;
   bool waited = false, waiting = false,
-       stuck = false;  // stood still at some time; stands still behind a load
-  int withdrawals = 0;
+       stuck = false;              // stood still at some time; stands still behind a load
+  int withdrawals = 0, moves = 0;  // for a bad plan; since it stood still
+  Ms rest_until = 0;               // between moves
   bool may_have_run = false;
   int risked_on = -1;  // the engine and time of the first send that may have run
   Ms risked_at = 0;
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -480,6 +480,21 @@
   EXPECT_EQ(choose(s, small, 10), 0);
 }
 
+TEST(Level, UniquedThatWaitsForMemoryMovesInsideItsWindowAndRestsBetweenMoves) {
+  Profile p = profile(Effect::kUniqued);
+  p.repeat_window = 5000;
+  State s = state_with(1, {p});
+  Command& c = add_command(s);
+  put_out(s, c, 0, 0);
+  hear(s, 5, Note{c.asked.id, 0, NoteKind::kWaits, 1});
+  review_out(s, 4900);
+  EXPECT_EQ(c.want, Want::kOut);
+  c.moves = 2;
+  review_out(s, 10);
+  EXPECT_EQ(c.want, Want::kWithdraw);
+  EXPECT_GT(c.rest_until, 10);
+}
+
 TEST(Level, CrowdingShowsWhereAnswersTellNoCost) {
   State s = state_with(1, {profile(Effect::kReplayable)});
   s.profiles[0].base = 1;
