--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -61,9 +61,7 @@
 constexpr double kLevelCut = 0.92;      // a step down
 constexpr Ms kLevelCutWait = 400;       // between steps down: the cut must show first
 constexpr Ms kLevelRaiseWait =
-    2000;  // between steps up of one thread: at 200 and 800 the steps outran the cuts
-constexpr Ms kLevelFirstWait =
-    400;                          // the same until the first cut: a busy gateway's share is far over the mean
+    2000;                         // between steps up of one thread: at 200 and 800 the steps outran the cuts
 constexpr Ms kFullRest = 250;     // after 'full': some commands end there within it
 constexpr double kKinWeight = 4;  // outcomes: an engine with fewer of late is judged by its kin as well
 constexpr double kRaisePart = 0.25;   // of the level: a step up is one thread or this, the lesser
@@ -439,9 +437,7 @@
     if (crowding > kStretchHigh && now - e.limit_moved_at > kLevelCutWait) {
       e.limit *= kLevelCut;
       e.limit_moved_at = now;
-      e.raise_wait = kLevelRaiseWait;
-    } else if (crowding < kStretchLow && e.limit_met &&
-               now - e.limit_moved_at > std::max(e.raise_wait, kLevelFirstWait)) {
+    } else if (crowding < kStretchLow && e.limit_met && now - e.limit_moved_at > kLevelRaiseWait) {
       e.limit += std::min(1.0, kRaisePart * e.limit);
       e.limit_moved_at = now;
     }
