Steps up of the level are alike for all gateways

Steps are now a part of the even share, cuts of the level, which evens shares out. Also catches: a gateway cut by a passing trouble coming back. Harm: one with far more traffic than the mean takes its time to reach its need.

--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -64,7 +64,8 @@
     2000;                         // between steps up of one thread: at 200 and 800 the steps outran the cuts
 constexpr Ms kFullRest = 250;     // after 'full': some commands end there within it
 constexpr double kKinWeight = 4;  // outcomes: an engine with fewer of late is judged by its kin as well
-constexpr double kRaisePart = 0.25;   // of the level: a step up is one thread or this, the lesser
+constexpr double kRaisePart =
+    0.25;  // of the start: a step up, one thread at most; alike for all, so that shares even out
 constexpr double kShortExtra = 1.25;  // times the limit for short commands, which free it soon
 // Line
 constexpr Ms kBeat = 20;            // between looks while commands are in hand: far under any target
@@ -438,7 +439,7 @@
       e.limit *= kLevelCut;
       e.limit_moved_at = now;
     } else if (crowding < kStretchLow && e.limit_met && now - e.limit_moved_at > kLevelRaiseWait) {
-      e.limit += std::min(1.0, kRaisePart * e.limit);
+      e.limit += std::min(1.0, kRaisePart * kLevelStart * e.cores / s.gateways);
       e.limit_moved_at = now;
     }
     e.limit = std::clamp(e.limit, least, kLevelMost * e.cores);
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -543,6 +543,17 @@
   EXPECT_GE(choose(s, add_command(s), 10), 0);
 }
 
+TEST(Level, StepsUpAreAlikeSoThatSharesEvenOut) {
+  State s = state_with(2, {profile(Effect::kReplayable)});
+  s.gateways = 100;
+  s.engines[0].limit = 0.1;
+  s.engines[1].limit = 4;
+  for (Engine& e : s.engines) e.limit_met = true;
+  judge_engines(s, 60000);
+  EXPECT_NEAR(s.engines[0].limit - 0.1, s.engines[1].limit - 4, 1e-9);
+  EXPECT_GT(s.engines[1].limit, 4);
+}
+
 TEST(Level, SmallSharesOfManyEnginesHoldTogether) {
   State s = state_with(4, {profile(Effect::kReplayable)});
   for (Engine& e : s.engines) e.limit = 0.2;
