An engine's first samples count as their mean; kin weigh two samples

Samples of the stretch (outcomes and notes) are now counted for each engine, the first few blend as their mean, and kin count as two. Also catches: slow engines seldom met. Harm: one bad plan makes an engine look jammed for some seconds to one gateway.

--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -60,10 +60,9 @@
 constexpr double kStretchNoMemory = 4;  // what a wait for memory counts as: twice the mark to cut at
 constexpr double kLevelCut = 0.92;      // a step down
 constexpr Ms kLevelCutWait = 400;       // between steps down: the cut must show first
-constexpr Ms kLevelRaiseWait =
-    2000;                         // between steps up of one thread: at 200 and 800 the steps outran the cuts
-constexpr Ms kFullRest = 250;     // after 'full': some commands end there within it
-constexpr double kKinWeight = 4;  // outcomes: an engine with fewer of late is judged by its kin as well
+constexpr Ms kLevelRaiseWait = 2000;    // between steps up: at 200 and 800 they outran the cuts
+constexpr Ms kFullRest = 250;           // after 'full': some commands end there within it
+constexpr double kKinWeight = 2;        // outcomes: an engine with fewer of late is judged by its kin as well
 constexpr double kRaisePart =
     0.25;  // of the start: a step up, one thread at most; alike for all, so that shares even out
 constexpr double kShortExtra = 1.25;  // times the limit for short commands, which free it soon
@@ -105,6 +104,9 @@
   mean *= std::pow(std::max(sample, 1 / kRatioMost) / mean, share);
 }
 
+// The first few samples of an engine count as their mean: one bad stay there tells more than none.
+double own_share(const Engine& e, double share) { return std::max(share, 1 / (1 + e.seen)); }
+
 Profile& profile_of(State& s, const Command& c) { return s.profiles[c.asked.profile]; }
 const Profile& profile_of(const State& s, const Command& c) { return s.profiles[c.asked.profile]; }
 
@@ -185,8 +187,11 @@
     const double stretch = std::min(r.took / std::max(by_itself, 1.0), kStretchMost);
     const double of_work = kStretchLearn * r.work / std::max(1.0, s.all_work * (1 - kWorkFade));
     const double weight = p.told ? std::min(of_work, kStretchJump) : p.threads > 1 ? kStretchLearn : 0;
-    for (double* mean : {&e.stretch, &kin.stretch}) blend_stretch(p, *mean, stretch, kStretchLearn);
-    for (double* mean : {&e.work_stretch, &kin.work_stretch}) blend_stretch(p, *mean, stretch, weight);
+    blend_stretch(p, kin.stretch, stretch, kStretchLearn);
+    blend_stretch(p, kin.work_stretch, stretch, weight);
+    blend_stretch(p, e.stretch, stretch, own_share(e, kStretchLearn));
+    blend_stretch(p, e.work_stretch, stretch, weight > 0 ? own_share(e, weight) : 0);
+    e.seen += 1;
   }
   e.tables[static_cast<size_t>(c.sends + c.taken_at) % e.tables.size()] = c.asked.tables;
 }
@@ -274,12 +279,16 @@
   }
   c->waited |= c->waiting;
   if (seen <= 0) return;
-  for (double* pace : {&e.work_stretch, &s.kin[e.kin].work_stretch})
-    blend_stretch(profile_of(s, *c), *pace, std::min(seen, kBadPlan * *pace), kStretchLearn);
+  double& kin = s.kin[e.kin].work_stretch;
+  blend_stretch(profile_of(s, *c), kin, std::min(seen, kBadPlan * kin), kStretchLearn);
+  blend_stretch(profile_of(s, *c), e.work_stretch, std::min(seen, kBadPlan * e.work_stretch),
+                own_share(e, kStretchLearn));
+  e.seen += 1;
 }
 
-void fade(double& a, double& b, Ms& counted_at, Ms now) {
+void fade(double& a, double& b, Ms& counted_at, Ms now, double* more = nullptr) {
   const double left = std::exp(-(now - counted_at) / kFailWindow);
+  if (more) *more *= left;
   a *= left;
   b *= left;
   counted_at = now;
@@ -296,7 +305,7 @@
   e.threads_out -= p.threads;
   if (is_short(s, c)) e.short_out -= 1;
   e.work_out = std::max(0.0, e.work_out - c.cost);
-  fade(e.tries, e.fails, e.counted_at, now);
+  fade(e.tries, e.fails, e.counted_at, now, &e.seen);
   fade(s.pool_sends, s.pool_bad, s.pool_counted_at, now);
   const bool lost =
       r.outcome == Outcome::kFailed || r.outcome == Outcome::kReset || r.outcome == Outcome::kConnectFailed;
@@ -409,23 +418,21 @@
     if (c.out && overdue(s, c, s.engines[c.engine], now)) s.engines[c.engine].silent = true;
   }
   // Guards against levels that never move, or by chance, where a gateway sees little of each engine: with few
-  // outcomes of its own an engine is taken to be as crowded as its kin (the pool's or the light ones of its
-  // machine).
+  // samples of its own an engine is taken to be as crowded as its kin (of its machine, in the pool or not).
   const auto with_kin = [](const Engine& e, double own, double kin) {
-    return (e.tries * own + kKinWeight * kin) / (e.tries + kKinWeight);
+    return (e.seen * own + kKinWeight * kin) / (e.seen + kKinWeight);
   };
   s.sorted_costs.clear();
   for (Engine& e : s.engines) {
-    fade(e.tries, e.fails, e.counted_at, now);
+    fade(e.tries, e.fails, e.counted_at, now, &e.seen);
     e.usual = with_kin(e, e.stretch, s.kin[e.kin].stretch);
     if (e.life == Life::kReady) s.sorted_costs.push_back(e.usual);
   }
   std::sort(s.sorted_costs.begin(), s.sorted_costs.end());
-  const double median = s.sorted_costs.empty() ? 1 : std::max(1.0, s.sorted_costs[s.sorted_costs.size() / 2]);
-  s.usual_stretch = median;
+  s.usual_stretch = s.sorted_costs.empty() ? 1 : std::max(1.0, s.sorted_costs[s.sorted_costs.size() / 2]);
   for (Engine& e : s.engines) {
     const bool failing = e.fails >= kFailLeast && e.fails >= kFailShare * e.tries;
-    const bool doubted = e.silent || failing || e.usual > kSlowPeer * median;
+    const bool doubted = e.silent || failing || e.usual > kSlowPeer * s.usual_stretch;
     if (doubted && !e.doubted) {
       e.trials = 0;
       e.trial_at = now + kTrialFirst;
@@ -433,12 +440,11 @@
     e.doubted = doubted;
     // The level: down while its sends crowd each other, up while it binds and they do not.
     const double least = kLevelLeast * e.cores / s.gateways;
-    const double crowding = e.crowding =
-        std::max(e.usual, with_kin(e, e.work_stretch, s.kin[e.kin].work_stretch));
-    if (crowding > kStretchHigh && now - e.limit_moved_at > kLevelCutWait) {
+    e.crowding = std::max(e.usual, with_kin(e, e.work_stretch, s.kin[e.kin].work_stretch));
+    if (e.crowding > kStretchHigh && now - e.limit_moved_at > kLevelCutWait) {
       e.limit *= kLevelCut;
       e.limit_moved_at = now;
-    } else if (crowding < kStretchLow && e.limit_met && now - e.limit_moved_at > kLevelRaiseWait) {
+    } else if (e.crowding < kStretchLow && e.limit_met && now - e.limit_moved_at > kLevelRaiseWait) {
       e.limit += std::min(1.0, kRaisePart * kLevelStart * e.cores / s.gateways);
       e.limit_moved_at = now;
     }
@@ -570,7 +576,7 @@
 int choose(State& s, const Command& c, Ms now) {
   const Profile& p = profile_of(s, c);
   const bool quick = is_short(s, c);
-  const bool trial_fits = p.effect == Effect::kReplayable && quick;
+
   const bool readers =
       std::any_of(s.profiles.begin(), s.profiles.end(), [](const Profile& x) { return x.waits; });
   const bool held_long = now - c.held_since > kHeavyHold;
@@ -590,7 +596,8 @@
           !may_send(s, c, e, now))
         continue;
       if (e.doubted) {
-        if (trial_fits && e.sends_out == 0 && now >= e.trial_at && c.sends == 0) {
+        if (quick && p.effect == Effect::kReplayable && e.sends_out == 0 && now >= e.trial_at &&
+            c.sends == 0) {
           e.trial_at = now + std::min(kTrialMost, kTrialFirst * (1 << std::min(e.trials++, 4)));
           return static_cast<int>(i);
         }
@@ -768,11 +775,8 @@
       act(Action::Kind::kWithdraw, c).number = c.sends - 1;
       c.withdrawn = true;
     } else if (c.want == Want::kShed || c.want == Want::kFail) {
-      if (c.want == Want::kShed) {
-        act(Action::Kind::kShed, c).wait = s.shed_advice;
-      } else {
-        act(Action::Kind::kFail, c);
-      }
+      const bool shed = c.want == Want::kShed;
+      act(shed ? Action::Kind::kShed : Action::Kind::kFail, c).wait = shed ? s.shed_advice : 0;
       c.ended = true;
     }
   }
--- a/src/rules.h
+++ b/src/rules.h
@@ -132,7 +132,7 @@
   int sends_out = 0, threads_out = 0, short_out = 0;
   Ms work_out = 0;
   // Its health as seen from here:
-  double tries = 0, fails = 0;  // fading counts
+  double tries = 0, fails = 0, seen = 0;  // fading counts; seen: samples of the stretch
   Ms counted_at = 0;
   Ms sign_at = 0;        // last sign of life
   bool doubted = false;  // gets one trial at a time
