--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -40,7 +40,6 @@
 constexpr double kFailShare = 0.2;    // of sends that fail: the engine is skipped
 constexpr Ms kFailWindow = 10000;     // over which they are counted (as a fading count)
 constexpr double kFailLeast = 2.5;    // fading failures before the share is believed
-constexpr double kNoConnection = 3;   // failures that a refused connection counts for
 constexpr Ms kTrialFirst = 1000;      // until the first trial of a doubted engine
 constexpr int kTrialsGood = 4;        // in a row: past the luck of an engine that fails a third of its work
 constexpr Ms kTrialMost = 8000;       // the wait doubles up to this
@@ -312,8 +311,7 @@
       r.outcome == Outcome::kFailed || r.outcome == Outcome::kReset || r.outcome == Outcome::kConnectFailed;
   if (r.outcome == Outcome::kOk || lost || r.outcome == Outcome::kTimedOut) e.tries += 1;
   if (lost) {
-    // Guards against every one of many gateways finding out thrice: no connection is no chance failure.
-    e.fails += r.outcome == Outcome::kConnectFailed ? kNoConnection : 1;
+    e.fails += 1;
     e.good_trials = 0;
   }
   if (e.in_pool && c.heavy) {
@@ -349,7 +347,7 @@
   if (p.in_order && c.asked.has_key && s.key_rest > 0 &&
       (r.outcome == Outcome::kTimedOut || r.outcome == Outcome::kReset || r.outcome == Outcome::kCancelled))
     s.key_rests.push_back({c.asked.key, now + s.key_rest});
-  c.ended = c.ended || r.finished;
+  if (r.finished) c.ended = true;
   if (c.ended) return;
   c.want = Want::kHold;
   c.held_since = now;
@@ -375,7 +373,8 @@
 State open(const Articles& a, uint64_t salt) {
   State s;
   s.articles = a;
-  s.chance = Pcg{salt * 2 + 1};
+  s.chance.state = salt * 2 + 1;
+  s.chance.next();
   s.gateways = std::max(1.0, number(a, "gateways", 1));
   s.gateway_number = number(a, "gateway number");
   s.most_sends = static_cast<int>(number(a, "sends at most", 1));
