--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -5,11 +5,11 @@
 // The interface is rules.h. The design it follows, and each departure from it, is in docs/design.md.
 //
 // Beside the design, six mechanisms:
-//   1. level    a learned limit on the threads that this gateway runs at once on each engine
+//   1. level    a learned limit on the threads that this gateway runs at once, on each engine and on all
 //   2. line     commands without room wait here, most benefit for its work first, and end when past hope
 //   3. health   one judgement per engine from errors, silence and slowness; return by single trials
 //   4. warm-up  an engine that started, or came back from silence, gets a budget of work
-//   5. bad plan a send that runs far longer than predicted is withdrawn and sent again
+//   5. bad plan a send that runs far longer than predicted, or stands still, is withdrawn and sent again
 //   6. terms    priority and memory by prediction, where engines heed them
 #include "rules.h"
 
@@ -245,7 +245,7 @@
 }
 
 void hear_taken(State& s, Ms now, const Taken& t) {
-  if (t.profile < 0 || t.profile >= static_cast<int>(s.profiles.size())) return;
+  if (t.profile < 0 || t.profile >= static_cast<int>(s.profiles.size())) return s.unknown.push_back(t.id);
   Command& c = new_place(s);
   c.asked = t;
   c.taken_at = c.held_since = now;
@@ -682,7 +682,7 @@
     const Command& c = s.slab[place];
     if (!c.ended && !c.out && c.want == Want::kHold) s.line.push_back(place);
   }
-  if (s.line.empty()) return;
+
   const auto late = [&](const Command& c) {
     const Profile& p = profile_of(s, c);
     return now + c.alone > c.taken_at + p.latency_target + p.target_stretch * c.alone;
@@ -744,27 +744,29 @@
 }
 
 void emit(State& s, Ms now, Actions& out) {
-  const auto act = [&](Action::Kind kind, const Command& c) -> Action& {
+  const auto act = [&](Action::Kind kind, const CommandId& id) -> Action& {
     Action& a = out.emplace_back();
     a.kind = kind;
-    a.id = c.asked.id;
+    a.id = id;
     return a;
   };
+  for (const CommandId& id : s.unknown) act(Action::Kind::kFail, id);
+  s.unknown.clear();
   for (const int place : s.live) {
     Command& c = s.slab[place];
     if (c.ended) {
       // Work that serves nobody any more is called off: the client left while it ran.
       if (!c.out || c.withdrawn || !s.may_cancel) continue;
-      act(Action::Kind::kWithdraw, c).number = c.sends - 1;
+      act(Action::Kind::kWithdraw, c.asked.id).number = c.sends - 1;
       c.withdrawn = true;
     } else if (c.want == Want::kOut && !c.out) {
       const bool rank = s.ranks && c.want_rank != c.rank, grant = s.grants && c.want_grant_mb != c.grant_mb;
       if (rank || grant) {
-        Action& a = act(Action::Kind::kRank, c);
+        Action& a = act(Action::Kind::kRank, c.asked.id);
         a.number = c.rank = c.want_rank;
         a.memory_mb = c.grant_mb = c.want_grant_mb;
       }
-      act(Action::Kind::kSend, c).engine = s.engines[c.want_engine].id;
+      act(Action::Kind::kSend, c.asked.id).engine = s.engines[c.want_engine].id;
       c.sends += 1;
       c.engine = c.want_engine;
       c.out = true;
@@ -772,11 +774,11 @@
       c.share_done = 0;
       c.sent_at = c.noted_at = now;
     } else if (c.want == Want::kWithdraw && c.out && !c.withdrawn) {
-      act(Action::Kind::kWithdraw, c).number = c.sends - 1;
+      act(Action::Kind::kWithdraw, c.asked.id).number = c.sends - 1;
       c.withdrawn = true;
     } else if (c.want == Want::kShed || c.want == Want::kFail) {
       const bool shed = c.want == Want::kShed;
-      act(shed ? Action::Kind::kShed : Action::Kind::kFail, c).wait = shed ? s.shed_advice : 0;
+      act(shed ? Action::Kind::kShed : Action::Kind::kFail, c.asked.id).wait = shed ? s.shed_advice : 0;
       c.ended = true;
     }
   }
--- a/src/rules.h
+++ b/src/rules.h
@@ -226,8 +226,9 @@
   std::vector<Kin> kin;       // two for each of the machines: light, pool
   std::vector<Command> slab;  // commands in hand, places reused
   std::vector<int> free_places;
-  std::vector<int> live;         // places in the order taken
-  std::vector<int> line, drawn;  // scratch
+  std::vector<int> live;           // places in the order taken
+  std::vector<int> line, drawn;    // scratch
+  std::vector<CommandId> unknown;  // of profiles never told: failed at once
   std::vector<KeyRest> key_rests;
   std::vector<HeldTables> held_tables;  // by loads, as waiting sends have told
   Moments taken, further;               // for the budget of further sends
--- a/tests/wire_test.cpp
+++ b/tests/wire_test.cpp
@@ -50,6 +50,14 @@
             R"({"decisions":[]})");
 }
 
+TEST(Wire, CommandOfAnUnknownProfileIsFailedAtOnce) {
+  Drill drill;
+  std::string accept = kAccept;
+  accept.replace(accept.find("quick"), 5, "other");
+  EXPECT_NE(drill.answer(batch(kStart + "," + accept)).find(R"("FAIL":{"gateway_id":1,"job":"86a1)"),
+            std::string::npos);
+}
+
 TEST(Wire, MalformedNamesEventAndField) {
   Drill drill;
   EXPECT_THROW(drill.answer(R"({"wall":1,"happ)"), Malformed);
