--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -72,11 +72,11 @@
 constexpr double kTryAnyway = 0.9;  // of its life: predictions err, so each command gets a first chance
 constexpr Ms kRepeatSlack = 200;    // off the window of uniqued commands, for the way there
 // Bad plan
-constexpr double kBadPlan = 4;     // times the predicted time: past the scatter of estimates
-constexpr double kBlind = 4;       // times the predicted and the usual time without a word of progress
-constexpr Ms kBadPlanLeast = 300;  // running time below which nothing is withdrawn
-constexpr int kWithdrawMost = 2;   // withdrawals before the estimate is blamed instead
-constexpr double kMoveRest = 0.1;  // of its time alone, times the moves so far: in all a third of it or so
+constexpr double kBadPlan = 4;         // times the predicted time: past the scatter of estimates
+constexpr double kBlind = 4;           // times the predicted and the usual time without a word of progress
+constexpr Ms kBadPlanLeast = 300;      // running time below which nothing is withdrawn
+constexpr int kWithdrawMost = 2;       // withdrawals before the estimate is blamed instead
+constexpr double kMoveRest = 0.25;     // of its time alone, times the moves so far: in all about its length
 constexpr double kWaitsForMemory = 1;  // the note's word for standing in the engine's line for memory
 constexpr double kWaitsForLoad = 2;    // the note's word for standing still while a load holds the tables
 constexpr Ms kTablesHeld = 3000;       // that such news is kept: a load's usual length
