--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -15,6 +15,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <initializer_list>
 
 namespace firvalve {
 namespace {
@@ -63,9 +64,8 @@
 constexpr Ms kLevelRaiseWait = 2000;    // between steps up: at 200 and 800 they outran the cuts
 constexpr Ms kFullRest = 250;           // after 'full': some commands end there within it
 constexpr double kKinWeight = 2;        // outcomes: an engine with fewer of late is judged by its kin as well
-constexpr double kRaisePart =
-    0.25;  // of the start: a step up, one thread at most; alike for all, so that shares even out
-constexpr double kShortExtra = 1.25;  // times the limit for short commands, which free it soon
+constexpr double kRaisePart = 0.25;     // of the start: a step up, one thread at most, alike for all
+constexpr double kShortExtra = 1.25;    // times the limit for short commands, which free it soon
 // Line
 constexpr Ms kBeat = 20;            // between looks while commands are in hand: far under any target
 constexpr Ms kEndSlack = 30;        // before the client gives up: a held command ends here at the latest
@@ -126,6 +126,8 @@
   return std::max(c.alone, p.mean_cost / p.threads) * std::max(1.0, e.usual);
 }
 
+bool in_window(const Profile& p, Ms since, Ms now) { return now + kRepeatSlack < since + p.repeat_window; }
+
 bool never_ran(Outcome o) {
   return o == Outcome::kFull || o == Outcome::kConnectFailed || o == Outcome::kMoot;
 }
@@ -150,8 +152,9 @@
 
 void learn(State& s, Ms now, const Command& c, const Settled& r) {
   Profile& p = profile_of(s, c);
+  p.told = r.work > 0;
   const bool late = now == s.awake_at;
-  if (late && r.work <= 0) return;
+  if (late && !p.told) return;
   const Ms work = r.work > 0 ? r.work : r.took * p.threads;
   blend(p.mean_work, work, kLearn);
   const double ratio =
@@ -163,9 +166,9 @@
                                                          : 1 - kGrantLearn * (1 - kGrantCover);
   // Guards against calling a crowd normal: where the answer tells no cost, latency stands in for it, and its
   // mean rises with the crowding that it should show. The quickest stretch of outcomes is the yardstick.
-  p.told = r.work > 0;
+  if (late) return;
   const double slowness = p.told ? r.took * p.threads / r.work : ratio;
-  if (slowness > 0 && !late) {
+  if (slowness > 0) {
     p.window_sum += std::log(slowness);
     p.window_count += 1;
     if (!p.base_read) p.base = std::exp(p.window_sum / (p.window_count + kBaseGuess));
@@ -176,7 +179,6 @@
       p.window_sum = p.window_count = 0;
     }
   }
-  if (late) return;
   Engine& e = s.engines[c.engine];
   Kin& kin = s.kin[e.kin];
   const Ms by_itself = p.told ? r.work / p.threads * std::max(1.0, p.base) : c.alone;
@@ -286,11 +288,9 @@
   e.seen += 1;
 }
 
-void fade(double& a, double& b, Ms& counted_at, Ms now, double* more = nullptr) {
+void fade(Ms& counted_at, Ms now, std::initializer_list<double*> counts) {
   const double left = std::exp(-(now - counted_at) / kFailWindow);
-  if (more) *more *= left;
-  a *= left;
-  b *= left;
+  for (double* count : counts) *count *= left;
   counted_at = now;
 }
 
@@ -305,8 +305,8 @@
   e.threads_out -= p.threads;
   if (is_short(s, c)) e.short_out -= 1;
   e.work_out = std::max(0.0, e.work_out - c.cost);
-  fade(e.tries, e.fails, e.counted_at, now, &e.seen);
-  fade(s.pool_sends, s.pool_bad, s.pool_counted_at, now);
+  fade(e.counted_at, now, {&e.tries, &e.fails, &e.seen});
+  fade(s.pool_counted_at, now, {&s.pool_sends, &s.pool_bad});
   const bool lost =
       r.outcome == Outcome::kFailed || r.outcome == Outcome::kReset || r.outcome == Outcome::kConnectFailed;
   if (r.outcome == Outcome::kOk || lost || r.outcome == Outcome::kTimedOut) e.tries += 1;
@@ -334,7 +334,6 @@
     e.sign_at = now;
   if (r.outcome == Outcome::kFull) {
     e.limit *= kLevelCut;
-
     e.closed_from_mb = 0;
     e.closed_until = now + kFullRest;  // guards against spending every further send on one closed door
   }
@@ -359,9 +358,8 @@
 
 // Whether a send has run so long that its engine owed a sign of life.
 bool overdue(const State& s, const Command& c, const Engine& e, Ms now) {
-  // Guards against doubt where no word is owed: what stands still sends none, and after a stall of this
-  // gateway
-  // itself the first words are still to come.
+  // Guards against doubt where no word is owed: what stands still sends none, and after a stall
+  // of this gateway itself the first words are still to come.
   const Ms since = std::max({c.sent_at, e.sign_at, s.awake_at});
   if (c.waiting || now - since < kSilence) return false;
   if (s.note_period > 0 && now - std::max(since, c.noted_at) > kNotesMissed * s.note_period) return true;
@@ -424,7 +422,7 @@
   };
   s.sorted_costs.clear();
   for (Engine& e : s.engines) {
-    fade(e.tries, e.fails, e.counted_at, now, &e.seen);
+    fade(e.counted_at, now, {&e.tries, &e.fails, &e.seen});
     e.usual = with_kin(e, e.stretch, s.kin[e.kin].stretch);
     if (e.life == Life::kReady) s.sorted_costs.push_back(e.usual);
   }
@@ -536,7 +534,7 @@
   const Engine& first = s.engines[c.risked_on];
   const bool inside = p.group == Group::kAll || (p.group == Group::kZone && e.zone == first.zone) ||
                       (p.group == Group::kCell && e.cell == first.cell);
-  return inside && now + kRepeatSlack < c.risked_at + p.repeat_window;
+  return inside && in_window(p, c.risked_at, now);
 }
 
 // The part of its capacity that an engine has by now, by an even ramp from the stated cold share.
@@ -576,7 +574,6 @@
 int choose(State& s, const Command& c, Ms now) {
   const Profile& p = profile_of(s, c);
   const bool quick = is_short(s, c);
-
   const bool readers =
       std::any_of(s.profiles.begin(), s.profiles.end(), [](const Profile& x) { return x.waits; });
   const bool held_long = now - c.held_since > kHeavyHold;
@@ -655,12 +652,12 @@
     const Ms again = c.alone * std::max(1.0, e.usual);
     // A uniqued command that stands still has not begun: it, too, may go elsewhere inside its window.
     const bool movable = p.effect == Effect::kUniqued && p.group == Group::kAll && c.stuck &&
-                         now + kRepeatSlack < (c.may_have_run ? c.risked_at : c.sent_at) + p.repeat_window;
+                         in_window(p, c.may_have_run ? c.risked_at : c.sent_at, now);
     if ((p.effect != Effect::kReplayable && !movable) || c.sends >= s.most_sends || left < again) continue;
     if (c.stuck || (e.silent && overdue(s, c, e, now))) {
-      if (budget_left(s, now)) c.want = Want::kWithdraw;
-      // Guards against spending all sends within moments on engines that are full alike: each move waits
-      // longer.
+      if (!budget_left(s, now)) continue;
+      c.want = Want::kWithdraw;
+      // Guards against spending all sends within moments on engines full alike: each move waits longer.
       if (c.stuck) c.rest_until = now + kMoveRest * c.alone * c.moves++;
       continue;
     }
@@ -682,7 +679,6 @@
     const Command& c = s.slab[place];
     if (!c.ended && !c.out && c.want == Want::kHold) s.line.push_back(place);
   }
-
   const auto late = [&](const Command& c) {
     const Profile& p = profile_of(s, c);
     return now + c.alone > c.taken_at + p.latency_target + p.target_stretch * c.alone;
--- a/tests/helpers.h
+++ b/tests/helpers.h
@@ -41,8 +41,6 @@
     e.life = Life::kReady;
     e.cores = 8;
     e.limit = 16;
-    e.cold_since = -1;
-    e.stretch = e.work_stretch = 1;
     s.engines.push_back(e);
   }
   return s;
