--- /dev/null
+++ b/src/core/core.cpp
@@ -0,0 +1,227 @@
+#include "core/core.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+
+#include "core/articles.h"
+
+namespace firvalve {
+namespace {
+
+constexpr std::string_view kOutcomes[] = {"ok",    "failed",    "full", "timed out", "connect failed",
+                                          "reset", "cancelled", "moot"};
+
+CommandId command_id(std::string_view text) {
+  CommandId id;
+  std::copy_n(text.begin(), std::min(text.size(), id.text.size()), id.text.begin());
+  return id;
+}
+std::string_view view(const std::array<char, 16>& id) { return {id.data(), id.size()}; }
+
+}  // namespace
+
+void Counters::add(std::string_view what, std::string_view kind) {
+  std::string name(what);
+  if (!kind.empty()) name.append(" ").append(kind);
+  ++counts[name];
+}
+
+std::string Counters::text() const {
+  std::string out = "counters";
+  for (const auto& [name, count] : counts) out += fmt::format("; {}: {}", name, count);
+  return out;
+}
+
+Core::Core(const Articles& articles, uint64_t seed, Front& front, Back& back, Counters& counters,
+           std::function<void(const std::string&)> log)
+    : state_(open(articles, seed)),
+      profiles_(names_of(articles, "profile")),
+      front_(front),
+      back_(back),
+      counters_(counters),
+      log_(std::move(log)) {}
+
+void Core::hear_now(Ms now, const Event& event) {
+  hear(state_, now, event);
+  heard_ = true;
+}
+
+TakeIn Core::take_in(Ms now, CallRef call, Asked&& asked) {
+  const auto profile = std::find(profiles_.begin(), profiles_.end(), asked.profile);
+  if (profile == profiles_.end()) return TakeIn::kUnknownProfile;
+  const CommandId id = command_id(asked.command);
+  const auto [at, added] = held_.try_emplace(id.text);
+  if (!added) return TakeIn::kNotNew;
+  Held& h = at->second;
+  h.call = call;
+  h.statement = std::move(asked.statement);
+  h.profile = static_cast<int>(profile - profiles_.begin());
+  h.gives_up_at = now + asked.timeout;
+  calls_[call] = id.text;
+  counters_.add("taken", *profile);
+  Taken t;
+  t.id = id;
+  t.profile = h.profile;
+  t.gives_up_at = h.gives_up_at;
+  t.estimate = asked.estimate;
+  t.memory_mb = asked.memory_mb;
+  t.tables = asked.tables;
+  hear_now(now, t);
+  return TakeIn::kTaken;
+}
+
+CallRef Core::call_of(std::string_view command) const {
+  const auto at = held_.find(command_id(command).text);
+  return at == held_.end() ? 0 : at->second.call;
+}
+
+void Core::client_gone(Ms now, CallRef call) {
+  const auto at = calls_.find(call);
+  if (at == calls_.end()) return;
+  const CommandId id{at->second};
+  counters_.add("given up by client", profiles_[static_cast<size_t>(held_.at(id.text).profile)]);
+  finish(held_.find(id.text));
+  hear_now(now, ClientGone{id});
+}
+
+void Core::finish(HeldMap::iterator at) {
+  calls_.erase(at->second.call);
+  at->second.call = 0;
+  if (at->second.send == 0) held_.erase(at);
+}
+
+// Gateways must agree on the order of engines, so the number comes from the name alone: its eight hex digits, or
+// else a hash of it.
+uint32_t Core::number_of(const std::string& name) {
+  const auto known = numbers_.find(name);
+  if (known != numbers_.end()) return known->second;
+  const std::string digits = name.substr(name.rfind('-') + 1);
+  uint32_t number = 2166136261u;
+  if (digits.size() == 8 && digits.find_first_not_of("0123456789abcdef") == std::string::npos) {
+    number = static_cast<uint32_t>(std::stoul(digits, nullptr, 16));
+  } else {
+    for (const char c : name) number = (number ^ static_cast<unsigned char>(c)) * 16777619u;
+  }
+  while (std::any_of(numbers_.begin(), numbers_.end(), [&](const auto& n) { return n.second == number; }))
+    ++number;
+  return numbers_[name] = number;
+}
+
+void Core::roster(Ms now, bool full, std::vector<NamedListing> listings) {
+  Roster r;
+  r.full = full;
+  std::map<uint32_t, std::string> kept;
+  for (NamedListing& l : listings) {
+    l.listing.engine = number_of(l.name);
+    r.listings.push_back(l.listing);
+    back_.list(now, l.listing.engine, l.address, l.listing.life);
+    if (l.listing.life != Life::kGone) kept[l.listing.engine] = l.name;
+    if (l.listing.life == Life::kGone) listed_.erase(l.listing.engine);
+  }
+  if (full) {
+    for (const auto& [engine, name] : listed_)
+      if (!kept.count(engine)) back_.list(now, engine, {}, Life::kGone);
+    listed_.clear();
+  }
+  listed_.insert(kept.begin(), kept.end());
+  hear_now(now, r);
+}
+
+void Core::noted(Ms now, uint64_t send, NoteKind kind, double value) {
+  const auto at = sends_.find(send);
+  if (at == sends_.end()) return;
+  counters_.add("noted");
+  hear_now(now, Note{CommandId{at->second}, held_.at(at->second).sends - 1, kind, value});
+}
+
+void Core::ended(Ms now, uint64_t send, Outcome outcome, std::string rows) {
+  const auto at = sends_.find(send);
+  if (at == sends_.end()) return;
+  const Id id = at->second;
+  sends_.erase(at);
+  const auto h = held_.find(id);
+  counters_.add("sends ended", kOutcomes[static_cast<size_t>(outcome)]);
+  Settled s;
+  s.id = CommandId{id};
+  s.send = h->second.sends - 1;
+  s.outcome = outcome;
+  s.took = now - h->second.sent_at;
+  h->second.send = 0;
+  if (outcome == Outcome::kOk && h->second.call != 0) {
+    counters_.add("answered", profiles_[static_cast<size_t>(h->second.profile)]);
+    front_.answer(h->second.call, rows);
+    finish(h);
+    s.finished = true;
+  } else if (h->second.call == 0) {
+    s.finished = true;
+    held_.erase(h);
+  }
+  hear_now(now, s);
+}
+
+void Core::turn(Ms now) {
+  // A send ends with its client's patience at the latest, whatever its engine says.
+  for (auto& [id, h] : held_)
+    if (h.send != 0 && !h.overdue && now >= h.gives_up_at) {
+      h.overdue = true;
+      back_.withdraw(now, h.send, Outcome::kTimedOut);
+    }
+  for (; !bells_.empty() && bells_.begin()->first <= now; bells_.erase(bells_.begin()))
+    hear_now(now, Bell{bells_.begin()->second});
+  if (!heard_) return;
+  heard_ = false;
+  actions_.clear();
+  decide(state_, now, actions_);
+  for (const Action& a : actions_) carry_out(now, a);
+}
+
+void Core::carry_out(Ms now, const Action& a) {
+  if (a.kind == Action::Kind::kBell) {
+    bells_.emplace(now + a.wait, static_cast<uint64_t>(a.number));
+    return;
+  }
+  if (a.kind == Action::Kind::kLog) return log_(a.text);
+  const auto at = held_.find(a.id.text);
+  if (at == held_.end()) return;
+  Held& h = at->second;
+  const std::string& profile = profiles_[static_cast<size_t>(h.profile)];
+  switch (a.kind) {
+    case Action::Kind::kSend: {
+      counters_.add(h.sends > 0 ? "sent again" : "sent", profile);
+      h.send = ++last_send_;
+      h.sends += 1;
+      h.sent_at = now;
+      h.overdue = false;
+      sends_[h.send] = at->first;
+      back_.start(now, {h.send, a.engine, view(at->first), profile, h.statement, h.gives_up_at, h.priority});
+      break;
+    }
+    case Action::Kind::kWithdraw:
+      if (h.send == 0 || a.number != h.sends - 1) break;
+      counters_.add("withdrawn", profile);
+      back_.withdraw(now, h.send, Outcome::kCancelled);
+      break;
+    case Action::Kind::kRank:
+      h.priority = a.number;
+      if (h.send != 0) back_.rank(now, h.send, a.number);
+      break;
+    case Action::Kind::kShed:
+    case Action::Kind::kFail:
+      counters_.add(a.kind == Action::Kind::kShed ? "shed" : "failed", profile);
+      if (h.call != 0) a.kind == Action::Kind::kShed ? front_.shed(h.call, a.wait) : front_.fail(h.call);
+      if (h.call != 0) finish(at);
+      break;
+    default:
+      break;
+  }
+}
+
+Ms Core::next_due() const {
+  Ms due = bells_.empty() ? 0 : bells_.begin()->first;
+  for (const auto& [id, h] : held_)
+    if (h.send != 0 && !h.overdue && (due == 0 || h.gives_up_at < due)) due = h.gives_up_at;
+  return due;
+}
+
+}  // namespace firvalve
--- /dev/null
+++ b/src/core/core.h
@@ -0,0 +1,120 @@
+// The core: owns the module's state, ties commands to client calls and sends to engine calls. It does no I/O and
+// reads no clock: clients stand behind Front, engines behind Back, and time comes in with every call.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "rules.h"
+
+namespace firvalve {
+
+// A client's call, as its front numbers them. 0 is none.
+using CallRef = uint64_t;
+
+// Where final answers go. Each call taken in gets exactly one, unless its client went first.
+class Front {
+ public:
+  virtual ~Front() = default;
+  virtual void answer(CallRef call, std::string_view rows) = 0;
+  virtual void shed(CallRef call, Ms advice) = 0;  // advice 0: none
+  virtual void fail(CallRef call) = 0;
+};
+
+// One send, as the back needs it. The views are good until the send has ended.
+struct Order {
+  uint64_t send = 0;  // new with each send
+  uint32_t engine = 0;
+  std::string_view command, profile, statement;
+  Ms until = 0;
+  int priority = -1;  // below 0: the engine's own choice
+};
+
+// What carries sends to engines. Each send started ends once, by Core::ended, never within one of these calls.
+class Back {
+ public:
+  virtual ~Back() = default;
+  virtual void start(Ms now, const Order& order) = 0;
+  virtual void withdraw(Ms now, uint64_t send, Outcome as) = 0;  // gives it up; it ends as that, or as it does
+  virtual void rank(Ms now, uint64_t send, int priority) = 0;
+  virtual void list(Ms now, uint32_t engine, std::string_view address, Life life) = 0;
+};
+
+// A command as a front read it. The views need only last for the call that takes it in.
+struct Asked {
+  std::string_view command, profile;
+  std::string statement;
+  int64_t tables = -1;
+  Ms timeout = 0, estimate = 0;
+  double memory_mb = 0;
+};
+
+enum class TakeIn { kTaken, kUnknownProfile, kNotNew };
+
+struct NamedListing {
+  std::string name, address;
+  Listing listing;
+};
+
+struct Counters {
+  std::map<std::string, uint64_t, std::less<>> counts;
+  void add(std::string_view what, std::string_view kind = {});
+  std::string text() const;
+};
+
+class Core {
+ public:
+  Core(const Articles& articles, uint64_t seed, Front& front, Back& back, Counters& counters,
+       std::function<void(const std::string&)> log);
+
+  TakeIn take_in(Ms now, CallRef call, Asked&& asked);
+  void client_gone(Ms now, CallRef call);  // revoked, or its connection ended
+  CallRef call_of(std::string_view command) const;  // 0: not in hand
+  void roster(Ms now, bool full, std::vector<NamedListing> listings);
+  void noted(Ms now, uint64_t send, NoteKind kind, double value);
+  void ended(Ms now, uint64_t send, Outcome outcome, std::string rows = {});
+
+  // Once after the events of one reactor turn: what they call for is decided and carried out.
+  void turn(Ms now);
+  Ms next_due() const;  // the moment at which turn() must be called at the latest; 0: none
+  size_t in_hand() const { return held_.size(); }
+
+ private:
+  using Id = std::array<char, 16>;
+  struct Held {  // until it has its answer and nothing of it is out
+    CallRef call = 0;
+    std::string statement;
+    int profile = 0, sends = 0, priority = -1;
+    uint64_t send = 0;  // out now; 0: none
+    Ms gives_up_at = 0, sent_at = 0;
+    bool overdue = false;
+  };
+  using HeldMap = std::map<Id, Held>;
+
+  void hear_now(Ms now, const Event& event);
+  void carry_out(Ms now, const Action& action);
+  void finish(HeldMap::iterator at);  // answered: it stays for as long as a send is out
+  uint32_t number_of(const std::string& name);
+
+  State state_;
+  std::vector<std::string> profiles_;
+  Front& front_;
+  Back& back_;
+  Counters& counters_;
+  std::function<void(const std::string&)> log_;
+  HeldMap held_;
+  std::map<CallRef, Id> calls_;
+  std::map<uint64_t, Id> sends_;
+  std::map<std::string, uint32_t> numbers_;
+  std::map<uint32_t, std::string> listed_;  // names by number, of engines not gone
+  std::map<Ms, uint64_t> bells_;
+  Actions actions_;
+  uint64_t last_send_ = 0;
+  bool heard_ = true;  // at start the module is asked once
+};
+
+}  // namespace firvalve
--- a/src/drill/wire.h
+++ b/src/drill/wire.h
@@ -44,7 +44,4 @@
   std::string reply_;
 };
 
-// The start message's settings as a flat map in our words.
-Articles articles_of(const std::string& settings_json);
-
 }  // namespace firvalve::drill
--- /dev/null
+++ b/src/gateway/main.cpp
@@ -0,0 +1,99 @@
+// firvalve: one gateway, told by NODE_CONFIG what to serve.
+#include <Poco/Net/StreamSocketImpl.h>
+#include <fmt/format.h>
+#include <signal.h>
+#include <sys/socket.h>
+
+#include <cstdlib>
+#include <fstream>
+#include <iostream>
+#include <sstream>
+
+#include "core/articles.h"
+#include "net/bus.h"
+#include "net/clients.h"
+#include "net/engines.h"
+
+namespace {
+
+using namespace firvalve;
+
+void log(const std::string& line) { fmt::print(stderr, "firvalve: {}\n", line); }
+
+struct Unusable : std::runtime_error {
+  using std::runtime_error::runtime_error;
+};
+
+const rapidjson::Value& field(const rapidjson::Value& of, const char* name) {
+  const auto at = of.FindMember(name);
+  if (at == of.MemberEnd()) throw Unusable(fmt::format("configuration: {} is missing", name));
+  return at->value;
+}
+
+std::string text(const rapidjson::Value& of, const char* name) {
+  const rapidjson::Value& v = field(of, name);
+  if (!v.IsString()) throw Unusable(fmt::format("configuration: {} is not a string", name));
+  return v.GetString();
+}
+
+int run() {
+  const char* const path = std::getenv("NODE_CONFIG");
+  if (!path) throw Unusable("NODE_CONFIG is not set");
+  std::ifstream file(path);
+  if (!file) throw Unusable(fmt::format("configuration {} cannot be read", path));
+  std::stringstream all;
+  all << file.rdbuf();
+  const std::string json = all.str();
+  rapidjson::Document config;
+  config.Parse(json.c_str());
+  if (config.HasParseError() || !config.IsObject()) throw Unusable("configuration is not a JSON object");
+  const rapidjson::Value& settings = field(config, "settings");
+  if (!settings.IsObject()) throw Unusable("configuration: settings is not an object");
+  const Articles articles = articles_from(settings);
+  const uint64_t seed = std::strtoull(text(config, "seed").c_str(), nullptr, 16);
+
+  net::Loop loop;
+  Counters counters;
+  const Ms connect = number(articles, "connect time-out", 250);
+  net::Clients clients(loop, counters);
+  net::Engines engines(loop, counters, {connect, number(articles, "idle close", 15000)}, 600);
+  Core core(articles, seed, clients, engines, counters, log);
+  engines.serve(core);
+  net::Bus bus(loop, counters, text(config, "bus"), connect);
+
+  const rapidjson::Value& known = field(config, "known");
+  if (!known.IsObject()) throw Unusable("configuration: known is not an object");
+  const rapidjson::Value& batch = field(known, "batch");
+  if (!batch.IsArray()) throw Unusable("configuration: known.batch is not a list");
+  for (const rapidjson::Value& one : batch.GetArray()) {
+    auto event = proto::read_bus_event(one);
+    if (!event) throw Unusable("configuration: an event of known.batch cannot be read");
+    net::tell_roster(core, loop.now(), std::move(*event));
+  }
+  const rapidjson::Value& offset = field(known, "offset");
+  bus.follow(core, offset.IsInt64() ? offset.GetInt64() : 0);
+  clients.listen(text(config, "listen"), core);
+  log("serving");
+  loop.on_turn = [&](Ms now) {
+    bus.due(now);
+    engines.due(now);
+    core.turn(now);
+    Ms due = 0;
+    for (const Ms at : {bus.next_due(), engines.next_due(), core.next_due()})
+      if (at > 0 && (due == 0 || at < due)) due = at;
+    return due;
+  };
+  loop.run();
+  return 0;
+}
+
+}  // namespace
+
+int main() {
+  try {
+    return run();
+  } catch (const std::exception& e) {
+    log(e.what());
+    return 1;
+  }
+}
--- /dev/null
+++ b/src/net/bus.cpp
@@ -0,0 +1,80 @@
+#include "net/bus.h"
+
+#include <Poco/Net/NetException.h>
+
+#include <iostream>
+
+namespace firvalve::net {
+
+class Bus::Connection : public Link {
+ public:
+  Connection(Bus& owner, const Poco::Net::SocketAddress& address) : Link(owner.loop_, address), owner_(owner) {}
+
+ protected:
+  void on_up() override {
+    write(proto::bus_request(owner_.last_));
+    owner_.due_at_ = loop_.now() + proto::kBusSilence;
+  }
+  void on_bytes() override {
+    const Ms now = loop_.now();
+    std::span<char> line;
+    for (;;) {
+      const proto::Read read = proto::next_line(inbox_, line);
+      if (read == proto::Read::kMore) return;
+      if (read == proto::Read::kBroken) return owner_.lost(now);
+      owner_.hear(now, line);
+      if (!open()) return;
+    }
+  }
+  void on_end(End) override { owner_.lost(loop_.now()); }
+
+ private:
+  Bus& owner_;
+};
+
+Bus::Bus(Loop& loop, Counters& counters, std::string address, Ms connect_most)
+    : loop_(loop), counters_(counters), address_(std::move(address)), connect_most_(connect_most) {}
+Bus::~Bus() = default;
+
+void tell_roster(Core& core, Ms now, proto::BusEvent event) {
+  std::vector<NamedListing> listings;
+  for (proto::BusListing& l : event.listings)
+    listings.push_back({std::move(l.name), std::move(l.address), std::move(l.listing)});
+  core.roster(now, event.full, std::move(listings));
+}
+
+void Bus::hear(Ms now, std::span<char> line) {
+  auto event = proto::read_bus_line(line);
+  if (!event) {
+    counters_.add("bus lines unreadable");
+    const std::string_view start(line.data(), std::min<size_t>(line.size(), 200));
+    std::cerr << "event bus: a line cannot be read; connecting anew from " << last_ << ": " << start << '\n';
+    return lost(now);
+  }
+  due_at_ = now + proto::kBusSilence;
+  if (event->offset <= last_ || (event->listings.empty() && !event->full)) return;
+  last_ = event->offset;
+  counters_.add("bus events");
+  tell_roster(*core_, now, std::move(*event));
+}
+
+void Bus::lost(Ms now) {
+  if (!link_) return;
+  link_->close();
+  loop_.bury(std::move(link_));
+  counters_.add("bus connections lost");
+  due_at_ = now + connect_most_;
+}
+
+void Bus::due(Ms now) {
+  if (due_at_ == 0 || now < due_at_) return;
+  if (link_) return lost(now);
+  try {
+    link_ = std::make_unique<Connection>(*this, Poco::Net::SocketAddress(address_));
+  } catch (const Poco::Exception&) {
+    counters_.add("bus connections lost");
+  }
+  due_at_ = now + connect_most_;
+}
+
+}  // namespace firvalve::net
--- /dev/null
+++ b/src/net/bus.h
@@ -0,0 +1,42 @@
+// The connection to the event bus: followed, lost, and made anew from the last event read.
+#pragma once
+
+#include <memory>
+
+#include "core/core.h"
+#include "net/link.h"
+#include "proto/bus.h"
+
+namespace firvalve::net {
+
+class Bus {
+ public:
+  Bus(Loop& loop, Counters& counters, std::string address, Ms connect_most);
+  ~Bus();
+
+  void follow(Core& core, int64_t last) {
+    core_ = &core;
+    last_ = last;
+  }
+  void due(Ms now);
+  Ms next_due() const { return due_at_; }
+
+ private:
+  class Connection;
+  void hear(Ms now, std::span<char> line);
+  void lost(Ms now);
+
+  Loop& loop_;
+  Counters& counters_;
+  std::string address_;
+  Ms connect_most_ = 0;
+  Core* core_ = nullptr;
+  int64_t last_ = 0;
+  std::unique_ptr<Connection> link_;
+  Ms due_at_ = 1;  // connect, or give the connection up
+};
+
+// An event of the bus as the core takes it.
+void tell_roster(Core& core, Ms now, proto::BusEvent event);
+
+}  // namespace firvalve::net
--- /dev/null
+++ b/src/net/clients.h
@@ -0,0 +1,45 @@
+// The clients' side: the listener, their connections, and the calls open on them.
+#pragma once
+
+#include <Poco/Net/ServerSocket.h>
+
+#include <map>
+#include <memory>
+
+#include "core/core.h"
+#include "net/link.h"
+#include "proto/rpc.h"
+
+namespace firvalve::net {
+
+class Clients : public Front {
+ public:
+  Clients(Loop& loop, Counters& counters);
+  ~Clients() override;
+
+  void listen(const std::string& address, Core& core);
+  void answer(CallRef call, std::string_view rows) override;
+  void shed(CallRef call, Ms advice) override;
+  void fail(CallRef call) override;
+
+ private:
+  class Connection;
+  struct Open {
+    Connection* connection = nullptr;
+    int64_t id = 0;
+  };
+
+  void on_accept(const Poco::AutoPtr<Poco::Net::ReadableNotification>&);
+  Connection* close_call(CallRef call, int64_t& id);  // null: no such call
+
+  Loop& loop_;
+  Counters& counters_;
+  Core* core_ = nullptr;
+  Poco::Net::ServerSocket listener_;
+  bool listening_ = false;
+  std::map<Connection*, std::unique_ptr<Connection>> connections_;
+  std::map<CallRef, Open> open_;
+  CallRef last_call_ = 0;
+};
+
+}  // namespace firvalve::net
--- /dev/null
+++ b/src/net/engines.h
@@ -0,0 +1,78 @@
+// The engines' side: a pool of connections for each engine, and the sends that they carry.
+#pragma once
+
+#include <map>
+#include <memory>
+#include <vector>
+
+#include "core/core.h"
+#include "net/link.h"
+#include "proto/query.h"
+
+namespace firvalve::net {
+
+class Engines : public Back {
+ public:
+  struct Times {
+    Ms connect = 0, idle = 0;  // until a connection must be up; until the engine closes an idle one
+  };
+  Engines(Loop& loop, Counters& counters, Times times, int most_links);
+  ~Engines() override;
+
+  void serve(Core& core) { core_ = &core; }
+  void start(Ms now, const Order& order) override;
+  void withdraw(Ms now, uint64_t send, Outcome as) override;
+  void rank(Ms now, uint64_t send, int priority) override;
+  void list(Ms now, uint32_t engine, std::string_view address, Life life) override;
+
+  void due(Ms now);        // ends what has run out of time, and tells the core of what has ended
+  Ms next_due() const;     // 0: nothing is due
+
+ private:
+  class Connection;
+  enum class Task { kIdle, kSend, kErrand, kDiscard };
+  struct Send {
+    Order order;
+    proto::Query query;
+    Connection* on = nullptr;  // the connection that starts it or asks for its news
+    bool begun = false;        // some of its start has been handed to a connection that is up
+    bool told = false;         // all of it: it may have run
+    bool asked_again = false;  // on another connection, since its last answer
+    bool given_up = false;
+    Outcome as = Outcome::kCancelled;
+    Ms unasked_since = 0, ends_at = 0;  // 0: not by itself
+  };
+  struct Pool {
+    std::string address;
+    Ms born = 0;
+    std::map<Connection*, std::unique_ptr<Connection>> links;
+    std::vector<Connection*> idle;
+  };
+  struct Ending {
+    uint64_t send = 0;
+    Outcome outcome = Outcome::kOk;
+    std::string rows;
+  };
+
+  Connection* link_to(uint32_t engine, Ms now);  // idle or new; null: none can be had
+  void drop(Connection& link);
+  void rest(Connection& link, Ms now);
+  void carry(Connection& link, Ms now);  // the link is up: what it is for goes out
+  void hear(Connection& link, const proto::HttpAnswer& answer);
+  void lost(Connection& link, bool was_up, bool unsent);
+  void ask(uint64_t id, Send& send, Ms now);
+  void errand(uint32_t engine, uint64_t send, std::string call, bool ends_send, Ms now);
+  void end(uint64_t send, Outcome outcome, std::string rows = {});
+  void end_unproven(uint64_t send, Outcome outcome);
+
+  Loop& loop_;
+  Counters& counters_;
+  Times times_;
+  int most_links_ = 0, links_ = 0;
+  Core* core_ = nullptr;
+  std::map<uint32_t, Pool> pools_;
+  std::map<uint64_t, Send> sends_;
+  std::vector<Ending> endings_, telling_;
+};
+
+}  // namespace firvalve::net
--- /dev/null
+++ b/src/net/link.cpp
@@ -0,0 +1,147 @@
+#include "net/link.h"
+
+#include <Poco/NObserver.h>
+#include <Poco/Net/NetException.h>
+#include <sys/socket.h>
+
+#include <cerrno>
+
+namespace firvalve::net {
+
+using namespace Poco::Net;
+
+namespace {
+constexpr size_t kReadAtOnce = 16 * 1024;  // bytes: several messages, little for a thousand connections
+}
+
+Link::Link(Loop& loop, const StreamSocket& up) : loop_(loop), socket_(up), up_(true) {
+  loop_.count(1);
+  socket_.setBlocking(false);
+  socket_.setNoDelay(true);
+  loop_.addEventHandler(socket_, Poco::NObserver<Link, ErrorNotification>(*this, &Link::on_error));
+  want(true, false);
+}
+
+Link::Link(Loop& loop, const SocketAddress& address) : loop_(loop) {
+  loop_.count(1);
+  try {
+    socket_.connectNB(address);
+    socket_.setNoDelay(true);
+  } catch (const Poco::Exception&) {
+    refused_ = true;  // told at the next turn, as every other end is
+  }
+  if (refused_) return;
+  loop_.addEventHandler(socket_, Poco::NObserver<Link, ErrorNotification>(*this, &Link::on_error));
+  want(false, true);
+}
+
+Link::~Link() { close(); }
+
+void Link::close() {
+  if (!open_) return;
+  open_ = false;
+  loop_.count(-1);
+  if (!refused_) {
+    want(false, false);
+    loop_.removeEventHandler(socket_, Poco::NObserver<Link, ErrorNotification>(*this, &Link::on_error));
+  }
+  socket_.close();
+}
+
+void Link::want(bool read, bool write) {
+  const Poco::NObserver<Link, ReadableNotification> reader(*this, &Link::on_readable);
+  const Poco::NObserver<Link, WritableNotification> writer(*this, &Link::on_writable);
+  if (read != reading_) read ? loop_.addEventHandler(socket_, reader) : loop_.removeEventHandler(socket_, reader);
+  if (write != writing_)
+    write ? loop_.addEventHandler(socket_, writer) : loop_.removeEventHandler(socket_, writer);
+  reading_ = read;
+  writing_ = write;
+}
+
+void Link::read_on(bool on) {
+  if (open_ && up_) want(on, writing_);
+}
+
+int Link::socket_error() {
+  int error = 0;
+  socklen_t size = sizeof error;
+  if (::getsockopt(socket_.impl()->sockfd(), SOL_SOCKET, SO_ERROR, &error, &size) != 0) return errno;
+  return error;
+}
+
+void Link::ended(End end) {
+  if (!open_) return;
+  close();
+  on_end(end);
+}
+
+void Link::on_error(const Poco::AutoPtr<ErrorNotification>&) {
+  if (!open_) return;
+  if (!up_) return ended(End::kRefused);
+  // What came before the reset is still read.
+  ready(true);
+  if (open_ && socket_error() != 0) ended(End::kReset);
+}
+
+void Link::on_writable(const Poco::AutoPtr<WritableNotification>&) {
+  if (!open_) return;
+  if (!up_) {
+    if (socket_error() != 0) return ended(End::kRefused);
+    up_ = true;
+    want(true, false);
+    on_up();
+    if (!open_) return;
+  }
+  flush();
+}
+
+void Link::ready(bool) {
+  if (!open_) return;
+  if (!up_) return;
+  const auto room = inbox_.room(kReadAtOnce);
+  const ssize_t got = ::recv(socket_.impl()->sockfd(), room.data(), room.size(), 0);
+  if (got > 0) {
+    inbox_.filled(static_cast<size_t>(got));
+    on_bytes();
+    if (open_) inbox_.rest();
+  } else if (got == 0) {
+    if (half_open()) return want(false, writing_);
+    ended(End::kClosed);
+  } else if (errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR) {
+    ended(End::kReset);
+  }
+}
+
+void Link::write(std::string_view bytes) {
+  if (!open_) return;
+  out_ += bytes;
+  if (up_ && !writing_) flush();
+}
+
+void Link::flush() {
+  while (open_ && out_sent_ < out_.size()) {
+    const ssize_t sent = ::send(socket_.impl()->sockfd(), out_.data() + out_sent_, out_.size() - out_sent_, MSG_NOSIGNAL);
+    if (sent >= 0) {
+      out_sent_ += static_cast<size_t>(sent);
+    } else if (errno == EAGAIN || errno == EWOULDBLOCK) {
+      break;
+    } else if (errno != EINTR) {
+      // The end is told by the reactor's next turn, never within the call that writes.
+      want(true, false);
+      return;
+    }
+  }
+  if (!open_) return;
+  const bool all = out_sent_ == out_.size();
+  if (all) {
+    const bool some = !out_.empty();
+    std::string().swap(out_);
+    out_sent_ = 0;
+    if (writing_) want(reading_, false);
+    if (some) on_written();
+  } else if (!writing_) {
+    want(reading_, true);
+  }
+}
+
+}  // namespace firvalve::net
--- /dev/null
+++ b/src/net/link.h
@@ -0,0 +1,57 @@
+// One connection, non-blocking: bytes in, bytes out, and its end. It owns the descriptor.
+#pragma once
+
+#include <Poco/Net/SocketNotification.h>
+#include <Poco/Net/StreamSocket.h>
+
+#include <string>
+
+#include "net/loop.h"
+#include "proto/inbox.h"
+
+namespace firvalve::net {
+
+class Link {
+ public:
+  enum class End { kClosed, kReset, kRefused };
+
+  Link(Loop& loop, const Poco::Net::StreamSocket& up);        // accepted
+  Link(Loop& loop, const Poco::Net::SocketAddress& address);  // to be connected
+  virtual ~Link();
+  Link(const Link&) = delete;
+  Link& operator=(const Link&) = delete;
+
+  void write(std::string_view bytes);  // what the socket does not take at once waits
+  size_t unsent() const { return out_.size() - out_sent_; }
+  bool up() const { return up_; }
+  bool open() const { return open_; }
+  void read_on(bool on);
+  void close();  // without a word to the subclass
+
+ protected:
+  virtual void on_up() {}
+  virtual void on_bytes() = 0;         // inbox holds more than before
+  virtual void on_written() {}         // nothing waits any longer
+  virtual void on_end(End end) = 0;    // once; the link is closed by then, save after kClosed with half_open()
+  virtual bool half_open() { return false; }  // after the peer's end: keep the connection to write on
+
+  Loop& loop_;
+  proto::Inbox inbox_;
+
+ private:
+  void on_readable(const Poco::AutoPtr<Poco::Net::ReadableNotification>&) { ready(true); }
+  void on_writable(const Poco::AutoPtr<Poco::Net::WritableNotification>&);
+  void on_error(const Poco::AutoPtr<Poco::Net::ErrorNotification>&);
+  void ready(bool readable);
+  void flush();
+  void want(bool read, bool write);
+  void ended(End end);
+  int socket_error();
+
+  Poco::Net::StreamSocket socket_;
+  std::string out_;
+  size_t out_sent_ = 0;
+  bool up_ = false, open_ = true, reading_ = false, writing_ = false, refused_ = false;
+};
+
+}  // namespace firvalve::net
--- /dev/null
+++ b/src/proto/base64.h
@@ -0,0 +1,13 @@
+// Base64 with padding.
+#pragma once
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace firvalve::proto {
+
+std::optional<std::string> from_base64(std::string_view text);  // empty: it is not base64
+void append_base64(std::string& out, std::string_view bytes);
+
+}  // namespace firvalve::proto
--- /dev/null
+++ b/src/proto/query.h
@@ -0,0 +1,46 @@
+// One send as its engine sees it: the calls that start it, ask for its news and fetch its pages.
+#pragma once
+
+#include <string>
+
+#include "proto/http.h"
+#include "rules.h"
+
+namespace firvalve::proto {
+
+constexpr Ms kUnaskedMost = 2000;        // a query that is not asked for so long has ended on its engine
+constexpr size_t kRowsMost = 64 * 1024;  // bytes of a result: a third past what a client may be sent
+
+struct QueryCall {
+  std::string_view id, profile, statement, host;
+  Ms wait = 0;
+  int priority = -1;  // below 0: not told, the engine's own choice
+};
+
+void append_start(std::string& out, const QueryCall& call);
+void append_priority(std::string& out, std::string_view id, std::string_view host, int priority);
+void append_give_up(std::string& out, std::string_view id, std::string_view host);
+
+// Hears the answers to the calls of one send, in turn, and says which call comes next.
+class Query {
+ public:
+  enum class Next { kAsk, kEnded };
+  struct Step {
+    Next next = Next::kAsk;
+    Outcome outcome = Outcome::kFailed;  // once ended
+    bool noted = false;
+    NoteKind note = NoteKind::kProgress;
+    double value = 0;
+  };
+
+  Step hear(const HttpAnswer& answer);
+  void append_ask(std::string& out, std::string_view id, std::string_view host) const;
+  std::string take_rows() { return std::move(rows_); }
+  bool fetching() const { return page_ > 0; }  // it has ended well there, pages are to come
+
+ private:
+  int64_t page_ = 0, pages_ = 0;  // the next to ask for, and all; page 0 is also the news
+  std::string rows_;
+};
+
+}  // namespace firvalve::proto
--- /dev/null
+++ b/src/proto/rpc.cpp
@@ -0,0 +1,155 @@
+#include "proto/rpc.h"
+
+#include <fmt/format.h>
+#include <rapidjson/document.h>
+
+#include <iterator>
+
+#include "proto/base64.h"
+#include "proto/head.h"
+
+namespace firvalve::proto {
+namespace {
+
+using rapidjson::Value;
+
+std::string_view text_of(const Value& v) { return {v.GetString(), v.GetStringLength()}; }
+
+const Value* member(const Value& v, const char* name) {
+  const auto at = v.FindMember(name);
+  return at == v.MemberEnd() ? nullptr : &at->value;
+}
+
+bool put_text(const Value& params, const char* name, std::string_view& out) {
+  const Value* v = member(params, name);
+  if (!v || !v->IsString()) return false;
+  out = text_of(*v);
+  return true;
+}
+
+// A figure of zero or more; what is absent is left as it was.
+bool put_figure(const Value& params, const char* name, double& out) {
+  const Value* v = member(params, name);
+  if (!v) return true;
+  if (!v->IsNumber() || !(v->GetDouble() >= 0)) return false;
+  out = v->GetDouble();
+  return true;
+}
+
+bool is_command_id(std::string_view text) {
+  return text.size() == 16 && text.find_first_not_of("0123456789abcdefABCDEF") == std::string_view::npos;
+}
+
+RpcCall invalid(RpcCall call, int code, const char* why) {
+  call.kind = RpcCall::Kind::kInvalid;
+  call.code = code;
+  call.why = why;
+  return call;
+}
+
+void append_message(std::string& out, std::string_view body) {
+  fmt::format_to(std::back_inserter(out), "Content-Length: {}\r\n\r\n", body.size());
+  out += body;
+}
+
+}  // namespace
+
+Read RpcFrames::next(Inbox& in, std::span<char>& body) {
+  if (!in_body_) {
+    const size_t end = head_end(in.text().substr(0, kRpcHeadMost));
+    if (end == std::string_view::npos) return in.text().size() >= kRpcHeadMost ? Read::kBroken : Read::kMore;
+    std::string_view head = in.text().substr(0, end);
+    bool found = false;
+    for (std::string_view line = take_line(head); !line.empty(); line = take_line(head)) {
+      const auto field = field_of(line);
+      if (!field) return Read::kBroken;
+      if (!same_name(field->name, "Content-Length")) continue;
+      const auto length = whole_number(field->value, kRpcBodyMost);
+      if (!length || found) return Read::kBroken;
+      found = true;
+      length_ = static_cast<size_t>(*length);
+    }
+    if (!found || length_ == 0) return Read::kBroken;
+    in.used(end);
+    in_body_ = true;
+  }
+  if (in.held().size() < length_) return Read::kMore;
+  body = in.held().first(length_);
+  in.used(length_);
+  in_body_ = false;
+  return Read::kWhole;
+}
+
+RpcCall read_call(std::span<char> body) {
+  RpcCall call;
+  // The parser stops at an end mark; what stands in its place is the next message.
+  char& behind = *(body.data() + body.size());
+  const char kept = behind;
+  behind = '\0';
+  rapidjson::Document message;
+  message.ParseInsitu<rapidjson::kParseIterativeFlag>(body.data());
+  behind = kept;
+  if (message.HasParseError()) return invalid(call, -32700, "not JSON");
+  if (!message.IsObject()) return invalid(call, -32600, "not a request");
+  if (const Value* id = member(message, "id")) {
+    if (!id->IsInt64() || id->GetInt64() < 0) return invalid(call, -32600, "id is not a whole number");
+    call.has_id = true;
+    call.id = id->GetInt64();
+  }
+  std::string_view version;
+  if (!put_text(message, "jsonrpc", version) || version != "2.0") return invalid(call, -32600, "not 2.0");
+  if (!put_text(message, "method", call.profile)) return invalid(call, -32600, "no method");
+  const Value* params = member(message, "params");
+  if (call.profile == "heartbeat") {
+    call.kind = RpcCall::Kind::kHeartbeat;
+    return call;
+  }
+  if (!params || !params->IsObject()) return invalid(call, -32602, "no params");
+  if (call.profile == "revoke") {
+    call.kind = RpcCall::Kind::kRevoke;
+    put_text(*params, "req", call.command);
+    if (const Value* id = member(*params, "id"); id && id->IsInt64()) call.revoked = id->GetInt64();
+    return call;
+  }
+  if (!call.has_id) return invalid(call, -32600, "no id");
+  std::string_view bytes;
+  if (!put_text(*params, "req", call.command) || !is_command_id(call.command))
+    return invalid(call, -32602, "req is not 16 hex digits");
+  if (!member(*params, "timeout") || !put_figure(*params, "timeout", call.timeout))
+    return invalid(call, -32602, "timeout is not a number of milliseconds");
+  if (!put_figure(*params, "ms", call.estimate) || !put_figure(*params, "mem", call.memory_mb))
+    return invalid(call, -32602, "an estimate is not a number");
+  if (!put_text(*params, "bytes", bytes)) return invalid(call, -32602, "no bytes");
+  auto statement = from_base64(bytes);
+  if (!statement) return invalid(call, -32602, "bytes are not base64");
+  call.statement = std::move(*statement);
+  call.kind = RpcCall::Kind::kCommand;
+  return call;
+}
+
+void append_result(std::string& out, int64_t id, std::string_view rows) {
+  const std::string head = fmt::format(R"({{"jsonrpc":"2.0","id":{},"result":{{"bytes":")", id);
+  constexpr std::string_view kTail = R"("}})";
+  fmt::format_to(std::back_inserter(out), "Content-Length: {}\r\n\r\n{}",
+                 head.size() + (rows.size() + 2) / 3 * 4 + kTail.size(), head);
+  append_base64(out, rows);
+  out += kTail;
+}
+
+void append_healthy(std::string& out, int64_t id, bool healthy) {
+  append_message(out, fmt::format(R"({{"jsonrpc":"2.0","id":{},"result":{{"healthy":{}}}}})", id, healthy));
+}
+
+void append_error(std::string& out, int64_t id, bool has_id, int code, std::string_view message) {
+  append_message(out, fmt::format(R"({{"jsonrpc":"2.0","id":{},"error":{{"code":{},"message":"{}"}}}})",
+                                  has_id ? std::to_string(id) : "null", code, message));
+}
+
+void append_shed(std::string& out, int64_t id, double stay_away_ms) {
+  std::string data;
+  if (stay_away_ms > 0) data = fmt::format(R"(,"data":{{"holdoff":{:.0f}}})", stay_away_ms);
+  append_message(out, fmt::format(R"({{"jsonrpc":"2.0","id":{},"error":{{"code":{},"message":"shed"{}}}}})", id,
+                                  kRpcShed, data));
+}
+
+}  // namespace firvalve::proto
--- /dev/null
+++ b/src/proto/rpc.h
@@ -0,0 +1,48 @@
+// The clients' JSON-RPC 2.0 over TCP: messages behind a Content-Length head, and what they say.
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+#include "proto/inbox.h"
+
+namespace firvalve::proto {
+
+constexpr size_t kRpcHeadMost = 1024;         // bytes of a head
+constexpr size_t kRpcBodyMost = 128 * 1024;   // bytes of a message: a statement, well past any sent by hand
+constexpr size_t kRpcOpenMost = 32;           // open requests a connection, by the protocol
+
+// Finds the next message in what is held. Broken framing is final.
+class RpcFrames {
+ public:
+  Read next(Inbox& in, std::span<char>& body);  // the body is good until the inbox's next room()
+
+ private:
+  bool in_body_ = false;
+  size_t length_ = 0;
+};
+
+struct RpcCall {
+  enum class Kind { kCommand, kRevoke, kHeartbeat, kInvalid, kUnread };
+  Kind kind = Kind::kInvalid;
+  bool has_id = false;
+  int64_t id = 0;
+  int code = 0;           // of the error that an invalid one gets
+  const char* why = "";
+  std::string_view profile, command;  // slices of the body
+  int64_t revoked = 0;                // the id of the request given up, 0: told by the command alone
+  double timeout = 0, estimate = 0, memory_mb = 0;
+  std::string statement;  // decoded: it outlives the message
+};
+
+// Reads a message; slices point into the body, which is changed on the way. The byte behind the body must be
+// writable.
+RpcCall read_call(std::span<char> body);
+
+void append_result(std::string& out, int64_t id, std::string_view rows);
+void append_healthy(std::string& out, int64_t id, bool healthy);
+void append_error(std::string& out, int64_t id, bool has_id, int code, std::string_view message);
+void append_shed(std::string& out, int64_t id, double stay_away_ms);
+constexpr int kRpcFailed = -32000, kRpcShed = -32001;
+
+}  // namespace firvalve::proto
--- a/tests/wire_test.cpp
+++ b/tests/wire_test.cpp
@@ -1,5 +1,6 @@
 #include "drill/wire.h"
 
+#include "core/articles.h"
 #include "helpers.h"
 
 namespace firvalve::drill {
@@ -70,8 +71,10 @@
 }
 
 TEST(Wire, SettingsTakeOurWordsAndUnits) {
-  const Articles a = articles_of(R"({"rules":{"warm_up":13000000000},"shapes":["k"],
+  rapidjson::Document settings;
+  settings.Parse(R"({"rules":{"warm_up":13000000000},"shapes":["k"],
     "specifics":{"cores_by_kind":[12]},"profiles":[{"semantics":"deduplicated","allowed_on":["k"]}]})");
+  const Articles a = articles_from(settings);
   EXPECT_EQ(std::get<double>(a.at("warm-up")), 13000);
   EXPECT_EQ(std::get<double>(a.at("cores.k")), 12);
   EXPECT_EQ(std::get<std::string>(a.at("profile.0.effect")), "uniqued");
