Interest in writing ends with the writing; decisions once a tick; time-outs cached

A probe of POCO 1.11 alone (a socket with a reader, its writer removed) showed why: removeEventHandler leaves the epoll mode as it was, so each connection once written to was ready in every turn (Link::want). Adding a handler it has already sets the mode anew. What was left of the time went into deciding several times a millisecond and scanning all sends for time-outs: decisions now come at most once in the stated tick, and scans when the first time-out is due.

--- a/src/core/articles.cpp
+++ b/src/core/articles.cpp
@@ -30,6 +30,7 @@
     {"sends at most", "ceilings.try_limit"},
     {"commands at most", "ceilings.open_cap"},
     {"connect time-out", "ceilings.dial_timeout", Unit::kTime},
+    {"tick", "tick", Unit::kTime},
     {"idle close", "ceilings.conn_idle", Unit::kTime},
     {"repeats marked", "client_habits.marks_retry"},
     {"goal whole", "goal.whole"},
--- a/src/core/core.cpp
+++ b/src/core/core.cpp
@@ -40,7 +40,8 @@
       front_(front),
       back_(back),
       counters_(counters),
-      log_(std::move(log)) {}
+      log_(std::move(log)),
+      tick_(number(articles, "tick")) {}
 
 void Core::hear_now(Ms now, const Event& event) {
   hear(state_, now, event);
@@ -160,17 +161,28 @@
   hear_now(now, s);
 }
 
-void Core::turn(Ms now) {
-  // A send ends with its client's patience at the latest, whatever its engine says.
-  for (auto& [id, h] : held_)
-    if (h.send != 0 && !h.overdue && now >= h.gives_up_at) {
+// A send ends with its client's patience at the latest, whatever its engine says.
+void Core::end_overdue(Ms now) {
+  if (look_at_ == 0 || now < look_at_) return;
+  look_at_ = 0;
+  for (auto& [id, h] : held_) {
+    if (h.send == 0 || h.overdue) continue;
+    if (now >= h.gives_up_at) {
       h.overdue = true;
       back_.withdraw(now, h.send, Outcome::kTimedOut);
+    } else {
+      look_at_ = sooner(look_at_, h.gives_up_at);
     }
+  }
+}
+
+void Core::turn(Ms now) {
+  end_overdue(now);
   for (; !bells_.empty() && bells_.begin()->first <= now; bells_.erase(bells_.begin()))
     hear_now(now, Bell{bells_.begin()->second});
-  if (!heard_) return;
+  if (!heard_ || now < decided_at_ + tick_) return;
   heard_ = false;
+  decided_at_ = now;
   actions_.clear();
   decide(state_, now, actions_);
   for (const Action& a : actions_) carry_out(now, a);
@@ -194,6 +206,7 @@
       h.sent_at = now;
       h.overdue = false;
       sends_[h.send] = at->first;
+      look_at_ = sooner(look_at_, h.gives_up_at);
       back_.start(now, {h.send, a.engine, view(at->first), profile, h.statement, h.gives_up_at, h.priority});
       break;
     }
@@ -218,9 +231,8 @@
 }
 
 Ms Core::next_due() const {
-  Ms due = bells_.empty() ? 0 : bells_.begin()->first;
-  for (const auto& [id, h] : held_)
-    if (h.send != 0 && !h.overdue && (due == 0 || h.gives_up_at < due)) due = h.gives_up_at;
+  Ms due = sooner(look_at_, bells_.empty() ? 0 : bells_.begin()->first);
+  if (heard_) due = sooner(due, decided_at_ + tick_);
   return due;
 }
 
--- a/src/core/core.h
+++ b/src/core/core.h
@@ -53,6 +53,9 @@
   double memory_mb = 0;
 };
 
+// The sooner of two moments, where 0 is none.
+inline Ms sooner(Ms a, Ms b) { return a == 0 || (b > 0 && b < a) ? b : a; }
+
 enum class TakeIn { kTaken, kUnknownProfile, kNotNew };
 
 struct NamedListing {
@@ -78,7 +81,8 @@
   void noted(Ms now, uint64_t send, NoteKind kind, double value);
   void ended(Ms now, uint64_t send, Outcome outcome, std::string rows = {});
 
-  // Once after the events of one reactor turn: what they call for is decided and carried out.
+  // Once after the events of one reactor turn: what they call for is decided and carried out. Turns that follow
+  // within the stated tick are decided together at its end.
   void turn(Ms now);
   Ms next_due() const;  // the moment at which turn() must be called at the latest; 0: none
   size_t in_hand() const { return held_.size(); }
@@ -96,6 +100,7 @@
   using HeldMap = std::map<Id, Held>;
 
   void hear_now(Ms now, const Event& event);
+  void end_overdue(Ms now);
   void carry_out(Ms now, const Action& action);
   void finish(HeldMap::iterator at);  // answered: it stays for as long as a send is out
   uint32_t number_of(const std::string& name);
@@ -114,6 +119,9 @@
   std::map<Ms, uint64_t> bells_;
   Actions actions_;
   uint64_t last_send_ = 0;
+  const Ms tick_;
+  Ms decided_at_ = 0;
+  Ms look_at_ = 0;     // no send out ends by its client's patience before; 0: none is out
   bool heard_ = true;  // at start the module is asked once
 };
 
--- a/src/gateway/main.cpp
+++ b/src/gateway/main.cpp
@@ -81,10 +81,7 @@
     bus.due(now);
     engines.due(now);
     core.turn(now);
-    Ms due = 0;
-    for (const Ms at : {bus.next_due(), engines.next_due(), core.next_due()})
-      if (at > 0 && (due == 0 || at < due)) due = at;
-    return due;
+    return sooner(sooner(bus.next_due(), engines.next_due()), core.next_due());
   };
   loop.run();
   log(counters.text());
--- a/src/net/engines.cpp
+++ b/src/net/engines.cpp
@@ -38,7 +38,7 @@
     reader.reset();
     owner_.hear(*this, answer);
   }
-  void on_end(End) override { owner_.lost(*this, up(), unsent() > 0); }
+  void on_end(End) override { owner_.lost(*this, Loss::kEnded); }
 
  private:
   Engines& owner_;
@@ -60,7 +60,7 @@
   pool.address = address;
 }
 
-Engines::Connection* Engines::link_to(uint32_t engine, Ms now) {
+Engines::Connection* Engines::link_to(uint32_t engine) {
   Pool& pool = pools_[engine];
   if (!pool.idle.empty()) {
     Connection* const link = pool.idle.back();
@@ -71,7 +71,6 @@
   try {
     auto link = std::make_unique<Connection>(*this, engine, Poco::Net::SocketAddress(pool.address));
     Connection* const key = link.get();
-    key->since = now;
     pool.links[key] = std::move(link);
     ++links_;
     counters_.add("engine connections");
@@ -92,10 +91,16 @@
   --links_;
 }
 
+// A new task, or a new call of one, with its own time.
+void Engines::begin(Connection& link, Ms now) {
+  link.since = now;
+  look_at_ = sooner(look_at_, ends_at(link));
+}
+
 void Engines::rest(Connection& link, Ms now) {
   link.task = Task::kIdle;
   link.send = 0;
-  link.since = now;
+  begin(link, now);
   if (pools_[link.engine].address.empty()) return drop(link);
   pools_[link.engine].idle.push_back(&link);
 }
@@ -103,18 +108,18 @@
 void Engines::start(Ms now, const Order& order) {
   Send& send = sends_[order.send];
   send.order = order;
-  Connection* const link = link_to(order.engine, now);
+  Connection* const link = link_to(order.engine);
   if (!link) return end(order.send, Outcome::kConnectFailed);
   send.on = link;
   link->task = Task::kSend;
   link->send = order.send;
-  link->since = now;
+  begin(*link, now);
   if (link->up()) carry(*link, now);
 }
 
 void Engines::carry(Connection& link, Ms now) {
   if (link.task == Task::kErrand) {
-    link.since = now;
+    begin(link, now);
     return link.write(link.call);
   }
   const auto at = sends_.find(link.send);
@@ -129,7 +134,7 @@
     proto::append_start(call, {o.command, o.profile, o.statement, host, o.until - now, o.priority});
     send.begun = true;
   }
-  link.since = now;
+  begin(link, now);
   link.write(call);
   send.told |= link.unsent() == 0;
 }
@@ -137,12 +142,12 @@
 void Engines::ask(uint64_t id, Send& send, Ms now) {
   send.asked_again = true;
   send.unasked_since = now;
-  Connection* const link = link_to(send.order.engine, now);
+  Connection* const link = link_to(send.order.engine);
   if (!link) return end_unproven(id, Outcome::kReset);
   send.on = link;
   link->task = Task::kSend;
   link->send = id;
-  link->since = now;
+  begin(*link, now);
   if (link->up()) carry(*link, now);
 }
 
@@ -173,25 +178,23 @@
 // A connection has ended. What that proves: one that never came up, or took only part of the start, has begun
 // nothing. Else the send is asked for once more, for it belongs to no connection; only a process that refuses that
 // is known to have died.
-void Engines::lost(Connection& link, bool was_up, bool unsent) {
+void Engines::lost(Connection& link, Loss loss) {
   const Ms now = loop_.now();
   const uint64_t id = link.send;
   const Task task = link.task;
-  const bool ends_send = link.ends_send;
+  const bool ends_send = link.ends_send, was_up = link.up(), unsent = link.unsent() > 0;
   drop(link);
   const auto at = sends_.find(id);
   if (at == sends_.end()) return;
   Send& send = at->second;
-  if (task == Task::kErrand && ends_send) {
-    if (!was_up) end(id, Outcome::kCancelled);  // refused: the process has died, and the query with it
-    return;
-  }
+  const bool died = !was_up && loss == Loss::kEnded;  // refused: and the query with its process
+  if (task == Task::kErrand && ends_send && died) return end(id, Outcome::kCancelled);
   if (task != Task::kSend) return;
   send.on = nullptr;
   if (!send.told && (!was_up || unsent)) return end(id, Outcome::kConnectFailed);
   send.told = true;
-  if (!was_up) return end(id, Outcome::kReset);
-  send.asked_again ? end_unproven(id, Outcome::kReset) : ask(id, send, now);
+  if (died) return end(id, Outcome::kReset);
+  was_up && !send.asked_again ? ask(id, send, now) : end_unproven(id, Outcome::kReset);
 }
 
 void Engines::withdraw(Ms now, uint64_t id, Outcome as) {
@@ -207,13 +210,13 @@
     send.on = nullptr;
     // Nothing else may use it before the answer to its last call has come.
     link.task = Task::kDiscard;
+    begin(link, now);
     if (!send.told || !link.up()) drop(link);
   }
   if (!begun) return end(id, as == Outcome::kCancelled ? Outcome::kMoot : as);
   if (first) errand(send.order.engine, id, {}, as == Outcome::kCancelled, now);
   if (as != Outcome::kCancelled) return end(id, as);
-  send.as = as;
-  send.ends_at = send.unasked_since + proto::kUnaskedMost + kProofSlack;
+  end_unproven(id, as);
 }
 
 void Engines::rank(Ms now, uint64_t id, int priority) {
@@ -227,14 +230,14 @@
 }
 
 void Engines::errand(uint32_t engine, uint64_t id, std::string call, bool ends_send, Ms now) {
-  Connection* const link = link_to(engine, now);
+  Connection* const link = link_to(engine);
   if (!link) return;
   if (call.empty()) proto::append_give_up(call, sends_.at(id).order.command, pools_[engine].address);
   link->task = Task::kErrand;
   link->send = id;
   link->call = std::move(call);
   link->ends_send = ends_send;
-  link->since = now;
+  begin(*link, now);
   if (link->up()) carry(*link, now);
 }
 
@@ -251,61 +254,39 @@
   Send& send = sends_.at(id);
   send.as = outcome;
   send.ends_at = send.unasked_since + proto::kUnaskedMost + kProofSlack;
+  look_at_ = sooner(look_at_, send.ends_at);
 }
 
-void Engines::due(Ms now) {
-  for (auto at = sends_.begin(); at != sends_.end();) {
-    const auto next = std::next(at);
-    if (at->second.ends_at > 0 && now >= at->second.ends_at) end(at->first, at->second.as);
-    at = next;
+// Ends what has run out of time.
+void Engines::look(Ms now) {
+  look_at_ = 0;
+  std::vector<uint64_t> ended;
+  for (const auto& [id, send] : sends_) {
+    if (send.ends_at > 0 && now >= send.ends_at) ended.push_back(id);
+    if (send.ends_at > now) look_at_ = sooner(look_at_, send.ends_at);
   }
-  for (auto& [engine, pool] : pools_) {
-    std::vector<Connection*> late;
+  for (const uint64_t id : ended) end(id, sends_.at(id).as);
+  std::vector<Connection*> late;
+  for (auto& [engine, pool] : pools_)
     for (const auto& [link, owned] : pool.links) {
-      const Ms most = !link->up()                     ? times_.connect
-                      : link->task == Task::kIdle     ? times_.idle - kIdleSlack
-                      : link->task != Task::kSend     ? proto::kUnaskedMost
-                                                      : 0;
-      if (most > 0 && now - link->since >= most) late.push_back(link);
+      const Ms at = ends_at(*link);
+      if (at > 0 && now >= at) late.push_back(link);
+      if (at > now) look_at_ = sooner(look_at_, at);
     }
-    for (Connection* const link : late) {
-      if (link->up()) {
-        drop(*link);
-      } else {
-        const uint64_t id = link->send;
-        const bool carries = link->task == Task::kSend;
-        drop(*link);
-        const auto send = sends_.find(id);
-        if (!carries || send == sends_.end()) continue;
-        send->second.on = nullptr;
-        send->second.told ? end_unproven(id, Outcome::kReset) : end(id, Outcome::kConnectFailed);
-      }
-    }
-  }
+  for (Connection* const link : late) lost(*link, Loss::kSilent);
+}
+
+Ms Engines::ends_at(const Connection& link) const {
+  if (!link.up()) return link.since + times_.connect;
+  if (link.task == Task::kIdle) return link.since + times_.idle - kIdleSlack;
+  return link.task == Task::kSend ? 0 : link.since + proto::kUnaskedMost;
+}
+
+void Engines::due(Ms now) {
+  if (look_at_ > 0 && now >= look_at_) look(now);
   telling_.swap(endings_);
   for (Ending& e : telling_) core_->ended(now, e.send, e.outcome, std::move(e.rows));
   telling_.clear();
 }
 
-Ms Engines::next_due() const {
-  if (!endings_.empty()) return 1;  // at once
-  Ms due = 0;
-  const auto sooner = [&](Ms at) {
-    if (due == 0 || at < due) due = at;
-  };
-  for (const auto& [id, send] : sends_)
-    if (send.ends_at > 0) sooner(send.ends_at);
-  for (const auto& [engine, pool] : pools_)
-    for (const auto& [link, owned] : pool.links) {
-      if (!link->up()) {
-        sooner(link->since + times_.connect);
-      } else if (link->task == Task::kIdle) {
-        sooner(link->since + times_.idle - kIdleSlack);
-      } else if (link->task != Task::kSend) {
-        sooner(link->since + proto::kUnaskedMost);
-      }
-    }
-  return due;
-}
-
 }  // namespace firvalve::net
--- a/src/net/engines.h
+++ b/src/net/engines.h
@@ -26,7 +26,7 @@
   void list(Ms now, uint32_t engine, std::string_view address, Life life) override;
 
   void due(Ms now);        // ends what has run out of time, and tells the core of what has ended
-  Ms next_due() const;     // 0: nothing is due
+  Ms next_due() const { return endings_.empty() ? look_at_ : 1; }  // 0: nothing is due; 1: at once
 
  private:
   class Connection;
@@ -54,12 +54,16 @@
     std::string rows;
   };
 
-  Connection* link_to(uint32_t engine, Ms now);  // idle or new; null: none can be had
+  Connection* link_to(uint32_t engine);  // idle or new; null: none can be had
   void drop(Connection& link);
   void rest(Connection& link, Ms now);
   void carry(Connection& link, Ms now);  // the link is up: what it is for goes out
   void hear(Connection& link, const proto::HttpAnswer& answer);
-  void lost(Connection& link, bool was_up, bool unsent);
+  enum class Loss { kEnded, kSilent };
+  void lost(Connection& link, Loss loss);
+  void begin(Connection& link, Ms now);
+  Ms ends_at(const Connection& link) const;  // 0: not by itself
+  void look(Ms now);
   void ask(uint64_t id, Send& send, Ms now);
   void errand(uint32_t engine, uint64_t send, std::string call, bool ends_send, Ms now);
   void end(uint64_t send, Outcome outcome, std::string rows = {});
@@ -73,6 +77,7 @@
   std::map<uint32_t, Pool> pools_;
   std::map<uint64_t, Send> sends_;
   std::vector<Ending> endings_, telling_;
+  Ms look_at_ = 0;  // nothing runs out of time before; 0: nothing does
 };
 
 }  // namespace firvalve::net
--- a/src/net/link.cpp
+++ b/src/net/link.cpp
@@ -42,7 +42,10 @@
   open_ = false;
   loop_.count(-1);
   if (!refused_) {
-    want(false, false);
+    if (reading_)
+      loop_.removeEventHandler(socket_, Poco::NObserver<Link, ReadableNotification>(*this, &Link::on_readable));
+    if (writing_)
+      loop_.removeEventHandler(socket_, Poco::NObserver<Link, WritableNotification>(*this, &Link::on_writable));
     loop_.removeEventHandler(socket_, Poco::NObserver<Link, ErrorNotification>(*this, &Link::on_error));
   }
   socket_.close();
@@ -54,6 +57,10 @@
   if (read != reading_) read ? loop_.addEventHandler(socket_, reader) : loop_.removeEventHandler(socket_, reader);
   if (write != writing_)
     write ? loop_.addEventHandler(socket_, writer) : loop_.removeEventHandler(socket_, writer);
+  // Guards against a whole core spent on sockets that are always writable: the reactor (POCO 1.11) goes on asking
+  // for what a removed handler wanted until a handler, even one it has, is added.
+  if ((reading_ && !read) || (writing_ && !write))
+    loop_.addEventHandler(socket_, Poco::NObserver<Link, ErrorNotification>(*this, &Link::on_error));
   reading_ = read;
   writing_ = write;
 }
