A dropped connection takes its unsent bytes with it; nothing is sent at a time-out

Closed with FIN, such a connection goes on carrying its start to the engine that is back: Engines::drop now resets what is not idle. Nothing is deleted any more for what its client's time-out ended: the engine was told that time.

--- a/src/net/engines.cpp
+++ b/src/net/engines.cpp
@@ -80,8 +80,10 @@
   }
 }
 
+// Guards against a send that comes to its engine after its final answer: bytes for a machine that is cut off wait in
+// the system and would go out when it is back, even from a closed connection.
 void Engines::drop(Connection& link) {
-  link.close();
+  link.task == Task::kIdle ? link.close() : link.abort();
   Pool& pool = pools_[link.engine];
   std::erase(pool.idle, &link);
   const auto at = pool.links.find(&link);
@@ -211,11 +213,12 @@
     // Nothing else may use it before the answer to its last call has come.
     link.task = Task::kDiscard;
     begin(link, now);
-    if (!send.told || !link.up()) drop(link);
+    if (!send.told || !link.up() || as != Outcome::kCancelled) drop(link);
   }
   if (!begun) return end(id, as == Outcome::kCancelled ? Outcome::kMoot : as);
-  if (first) errand(send.order.engine, id, {}, as == Outcome::kCancelled, now);
+  // At its client's time-out the engine ends it by the time it was told: nothing is sent for it.
   if (as != Outcome::kCancelled) return end(id, as);
+  if (first) errand(send.order.engine, id, {}, true, now);
   end_unproven(id, as);
 }
 
--- a/src/net/link.cpp
+++ b/src/net/link.cpp
@@ -51,6 +51,14 @@
   socket_.close();
 }
 
+void Link::abort() {
+  if (open_ && up_) {
+    const linger now{1, 0};
+    ::setsockopt(socket_.impl()->sockfd(), SOL_SOCKET, SO_LINGER, &now, sizeof now);
+  }
+  close();
+}
+
 void Link::want(bool read, bool write) {
   const Poco::NObserver<Link, ReadableNotification> reader(*this, &Link::on_readable);
   const Poco::NObserver<Link, WritableNotification> writer(*this, &Link::on_writable);
--- a/src/net/link.h
+++ b/src/net/link.h
@@ -29,6 +29,7 @@
   bool open() const { return open_; }
   void read_on(bool on);
   void close();  // without a word to the subclass
+  void abort();  // the same, and what the peer has not taken yet never reaches it
 
  protected:
   virtual void on_up() {}
