SIGTERM: all taken is answered before the end; client reading paused; parser and core tests

The module hears when this gateway ends (Closing) and lets no client's patience outlast it; the program goes on accepting, answers and exits 0. Bytes of answers that clients do not read are bounded. Tests for the parsers, the core and the module's new event.

--- a/src/core/core.cpp
+++ b/src/core/core.cpp
@@ -58,7 +58,7 @@
   h.call = call;
   h.statement = std::move(asked.statement);
   h.profile = static_cast<int>(profile - profiles_.begin());
-  h.gives_up_at = now + asked.timeout;
+  h.gives_up_at = sooner(now + asked.timeout, closes_at_);
   calls_[call] = id.text;
   counters_.add("taken", *profile);
   Taken t;
@@ -161,6 +161,13 @@
   hear_now(now, s);
 }
 
+void Core::closing(Ms now, Ms at) {
+  closes_at_ = at;
+  for (auto& [id, h] : held_) h.gives_up_at = std::min(h.gives_up_at, at);
+  look_at_ = sooner(look_at_, at);
+  hear_now(now, Closing{at});
+}
+
 // A send ends with its client's patience at the latest, whatever its engine says.
 void Core::end_overdue(Ms now) {
   if (look_at_ == 0 || now < look_at_) return;
--- a/src/core/core.h
+++ b/src/core/core.h
@@ -81,11 +81,15 @@
   void noted(Ms now, uint64_t send, NoteKind kind, double value);
   void ended(Ms now, uint64_t send, Outcome outcome, std::string rows = {});
 
+  // This gateway ends at that moment: until then everything taken in gets its answer.
+  void closing(Ms now, Ms at);
+
   // Once after the events of one reactor turn: what they call for is decided and carried out. Turns that follow
   // within the stated tick are decided together at its end.
   void turn(Ms now);
   Ms next_due() const;  // the moment at which turn() must be called at the latest; 0: none
-  size_t in_hand() const { return held_.size(); }
+  size_t in_hand() const { return held_.size(); }      // with those answered of which a send is out
+  size_t unanswered() const { return calls_.size(); }
 
  private:
   using Id = std::array<char, 16>;
@@ -120,7 +124,7 @@
   Actions actions_;
   uint64_t last_send_ = 0;
   const Ms tick_;
-  Ms decided_at_ = 0;
+  Ms decided_at_ = 0, closes_at_ = 0;
   Ms look_at_ = 0;     // no send out ends by its client's patience before; 0: none is out
   bool heard_ = true;  // at start the module is asked once
 };
--- a/src/gateway/main.cpp
+++ b/src/gateway/main.cpp
@@ -12,11 +12,15 @@
 #include "net/clients.h"
 #include "net/engines.h"
 #include "net/signals.h"
+#include "proto/term.h"
 
 namespace {
 
 using namespace firvalve;
 
+constexpr Ms kEndLook = 5;        // between looks whether all is answered, while ending
+constexpr int kDescriptorsKept = 40;  // beside those of clients and engines: the bus, the listener, signals, files
+
 void log(const std::string& line) { fmt::print(stderr, "firvalve: {}\n", line); }
 
 struct Unusable : std::runtime_error {
@@ -51,11 +55,16 @@
   const Articles articles = articles_from(settings);
   const uint64_t seed = std::strtoull(text(config, "seed").c_str(), nullptr, 16);
 
+  const rapidjson::Value& limits = field(config, "limits");
+  if (!limits.IsObject() || !field(limits, "sockets").IsInt()) throw Unusable("configuration: limits.sockets");
+  const int sockets = field(limits, "sockets").GetInt();  // clients hold a third of them at most
+
   net::Loop loop;
   Counters counters;
   const Ms connect = number(articles, "connect time-out", 250);
   net::Clients clients(loop, counters);
-  net::Engines engines(loop, counters, {connect, number(articles, "idle close", 15000)}, 600);
+  net::Engines engines(loop, counters, {connect, number(articles, "idle close", 15000)},
+                       sockets - sockets / 3 - kDescriptorsKept);
   Core core(articles, seed, clients, engines, counters, log);
   engines.serve(core);
   net::Bus bus(loop, counters, text(config, "bus"), connect);
@@ -72,15 +81,25 @@
   const rapidjson::Value& offset = field(known, "offset");
   bus.follow(core, offset.IsInt64() ? offset.GetInt64() : 0);
   clients.listen(text(config, "listen"), core);
+  Ms ended_at = 0;  // SIGTERM came then
   net::Signals signals(loop, [&](int number) {
     if (number == SIGUSR1) return log(counters.text());
-    loop.stop();
+    if (ended_at > 0) return;
+    Ms longest = 0;
+    for (size_t i = 0; i < names_of(articles, "profile").size(); ++i)
+      longest = std::max(longest, firvalve::number(articles, fmt::format("profile.{}.client timeout", i)));
+    ended_at = loop.now();
+    core.closing(ended_at, ended_at + proto::answers_end(longest));
+    log("ending: everything taken is answered first");
   });
   log("serving");
   loop.on_turn = [&](Ms now) {
     bus.due(now);
     engines.due(now);
     core.turn(now);
+    if (ended_at > 0 && now >= ended_at + proto::kComingOn && core.unanswered() == 0 && clients.unsent() == 0)
+      loop.stop();
+    if (ended_at > 0) return now + kEndLook;
     return sooner(sooner(bus.next_due(), engines.next_due()), core.next_due());
   };
   loop.run();
--- a/src/net/clients.cpp
+++ b/src/net/clients.cpp
@@ -9,6 +9,11 @@
 
 using namespace Poco::Net;
 
+namespace {
+constexpr size_t kUnsentMost = 128 * 1024;  // bytes of answers waiting, past which a client is read no further
+constexpr size_t kAllUnsentMost = 96 * 1024 * 1024;  // of all clients: half the memory that a gateway is given
+}  // namespace
+
 class Clients::Connection : public Link {
  public:
   Connection(Clients& owner, const StreamSocket& socket) : Link(owner.loop_, socket), owner_(owner) {}
@@ -16,6 +21,20 @@
   std::map<int64_t, CallRef> open_calls;
   bool peer_done = false;
 
+  void finish() {
+    const Ms now = loop_.now();
+    for (const auto& [id, call] : open_calls) {
+      owner_.open_.erase(call);
+      owner_.core_->client_gone(now, call);
+    }
+    open_calls.clear();
+    close();
+    const auto at = owner_.connections_.find(this);
+    if (at == owner_.connections_.end()) return;
+    loop_.bury(std::move(at->second));
+    owner_.connections_.erase(at);
+  }
+
   void answered() {
     if (peer_done && open_calls.empty() && unsent() == 0) finish();
   }
@@ -24,6 +43,8 @@
   void on_bytes() override {
     std::span<char> body;
     for (;;) {
+      // Guards the memory limit against a client that sends but does not read: its requests wait in the system.
+      if (unsent() > kUnsentMost) return read_on(false);
       const proto::Read read = frames_.next(inbox_, body);
       if (read == proto::Read::kMore) return;
       if (read == proto::Read::kBroken) {
@@ -34,7 +55,11 @@
       if (!open()) return;
     }
   }
-  void on_written() override { answered(); }
+  void on_written() override {
+    if (!peer_done) read_on(true);
+    if (!inbox_.text().empty()) on_bytes();
+    if (open()) answered();
+  }
   bool half_open() override {
     peer_done = true;
     if (open_calls.empty() && unsent() == 0) return false;
@@ -44,20 +69,6 @@
 
  private:
   void hear(std::span<char> body);
-  void finish() {
-    const Ms now = loop_.now();
-    for (const auto& [id, call] : open_calls) {
-      owner_.open_.erase(call);
-      owner_.core_->client_gone(now, call);
-    }
-    open_calls.clear();
-    close();
-    const auto at = owner_.connections_.find(this);
-    if (at == owner_.connections_.end()) return;
-    loop_.bury(std::move(at->second));
-    owner_.connections_.erase(at);
-  }
-
   Clients& owner_;
   proto::RpcFrames frames_;
 };
@@ -135,6 +146,12 @@
   listening_ = true;
 }
 
+size_t Clients::unsent() const {
+  size_t all = 0;
+  for (const auto& [key, connection] : connections_) all += connection->unsent();
+  return all;
+}
+
 void Clients::on_accept(const Poco::AutoPtr<ReadableNotification>&) {
   try {
     auto connection = std::make_unique<Connection>(*this, listener_.acceptConnection());
@@ -142,7 +159,7 @@
     connections_[key] = std::move(connection);
     counters_.add("client connections");
   } catch (const Poco::Exception&) {
-    // It went before it was accepted, or no descriptor is left for it.
+    // It went before it was accepted. Where no descriptor is left, it waits in the system for the next turn.
   }
 }
 
@@ -160,6 +177,11 @@
   int64_t id = 0;
   Connection* const connection = close_call(call, id);
   if (!connection) return;
+  // Guards the memory limit against many clients that do not read: the one answered now is given up.
+  if (connection->unsent() > kUnsentMost && unsent() > kAllUnsentMost) {
+    counters_.add("client connections ended for unread answers");
+    return connection->finish();
+  }
   std::string out;
   proto::append_result(out, id, rows);
   connection->write(out);
--- a/src/net/clients.h
+++ b/src/net/clients.h
@@ -17,6 +17,8 @@
   Clients(Loop& loop, Counters& counters);
   ~Clients() override;
 
+  size_t unsent() const;  // bytes of answers that clients have not taken yet
+
   void listen(const std::string& address, Core& core);
   void answer(CallRef call, std::string_view rows) override;
   void shed(CallRef call, Ms advice) override;
--- /dev/null
+++ b/src/proto/term.h
@@ -0,0 +1,18 @@
+// What the protocol says of a planned restart, counted from SIGTERM.
+#pragma once
+
+#include <algorithm>
+
+#include "rules.h"
+
+namespace firvalve::proto {
+
+constexpr Ms kComingOn = 700;  // connections come for 400 at most, requests on them for 200 more; and the way
+constexpr Ms kKillWaitMost = 3000, kKillSlack = 700;  // SIGKILL: after the longest client timeout, and this
+constexpr Ms kAnswerSlack = 400;                      // before that: the last answers on their way
+
+inline Ms answers_end(Ms longest_timeout) {
+  return std::min(longest_timeout, kKillWaitMost) + kKillSlack - kAnswerSlack;
+}
+
+}  // namespace firvalve::proto
--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -346,8 +346,7 @@
   if (p.in_order && c.asked.has_key && s.key_rest > 0 &&
       (r.outcome == Outcome::kTimedOut || r.outcome == Outcome::kReset || r.outcome == Outcome::kCancelled))
     s.key_rests.push_back({c.asked.key, now + s.key_rest});
-  if (r.finished) c.ended = true;
-  if (c.ended) return;
+  if (c.ended |= r.finished) return;
   c.want = Want::kHold;
   c.held_since = now;
   c.withdrawn = false;
@@ -403,11 +402,10 @@
   if (const auto* t = std::get_if<Taken>(&event)) return hear_taken(s, now, *t);
   if (const auto* n = std::get_if<Note>(&event)) return hear_note(s, now, *n);
   if (const auto* r = std::get_if<Settled>(&event)) return hear_settled(s, now, *r);
-  if (const auto* g = std::get_if<ClientGone>(&event)) {
+  if (const auto* x = std::get_if<Closing>(&event)) s.closes_at = x->at;
+  if (const auto* g = std::get_if<ClientGone>(&event))
     if (Command* c = command_of(s, g->id)) c->ended = true;
-  } else if (std::get_if<Bell>(&event)) {
-    if (now >= s.bell_at) s.bell_at = 0;
-  }
+  if (std::get_if<Bell>(&event) && now >= s.bell_at) s.bell_at = 0;
 }
 
 void judge_engines(State& s, Ms now) {
@@ -627,8 +625,7 @@
     const auto easy = [&](int i) { return s.engines[i].crowding < kStretchLow; };
     if (std::any_of(s.drawn.begin(), s.drawn.end(), easy))
       std::erase_if(s.drawn, [&](int i) { return s.engines[i].crowding > kStretchHigh; });
-    const size_t count = s.drawn.size();
-    const size_t one = s.chance.next() % count;
+    const size_t count = s.drawn.size(), one = s.chance.next() % count;
     const size_t two = count > 1 ? (one + 1 + s.chance.next() % (count - 1)) % count : one;
     const auto load = [&](int i) {
       const Engine& e = s.engines[i];
@@ -729,6 +726,9 @@
 void decide(State& s, Ms now, Actions& out) {
   std::erase_if(s.held_tables, [&](const HeldTables& h) { return now >= h.until; });
   std::erase_if(s.key_rests, [&](const KeyRest& k) { return now >= k.until; });
+  // Guards against leaving commands without an answer: no client's patience outlasts this gateway.
+  for (const int i : s.closes_at > 0 ? s.live : std::vector<int>())
+    s.slab[i].asked.gives_up_at = std::min(s.slab[i].asked.gives_up_at, s.closes_at);
   judge_engines(s, now);
   draw_pool(s);
   review_out(s, now);
--- a/src/rules.h
+++ b/src/rules.h
@@ -77,7 +77,10 @@
 struct Bell {
   uint64_t ref = 0;
 };
-using Event = std::variant<Roster, Taken, Note, Settled, Probed, ClientGone, Bell>;
+struct Closing {
+  Ms at = 0;  // this gateway ends then: whatever it holds must have its answer
+};
+using Event = std::variant<Roster, Taken, Note, Settled, Probed, ClientGone, Bell, Closing>;
 
 // ---- Actions ------------------------------------------------------------------------------------
 
@@ -240,6 +243,7 @@
   double pool_sends = 0, pool_bad = 0;  // fading counts
   Ms pool_counted_at = 0;
   Ms bell_at = 0, want_bell = 0, awake_at = -1;  // awake: since a stall of this gateway
+  Ms closes_at = 0;                              // this gateway's own end; 0: none is known
   // Read from the articles once, since every command needs them:
   double gateways = 1, gateway_number = 0;
   int most_sends = 0;
--- /dev/null
+++ b/tests/core_test.cpp
@@ -0,0 +1,118 @@
+#include "core/core.h"
+
+#include <gtest/gtest.h>
+
+namespace firvalve {
+namespace {
+
+struct Heard : Front, Back {
+  std::vector<std::string> finals;
+  std::vector<Order> started;
+  std::vector<std::pair<uint64_t, Outcome>> withdrawn;
+  std::map<uint32_t, std::string> addresses;
+  void answer(CallRef call, std::string_view rows) override {
+    finals.push_back("answer " + std::to_string(call) + " " + std::string(rows));
+  }
+  void shed(CallRef call, Ms) override { finals.push_back("shed " + std::to_string(call)); }
+  void fail(CallRef call) override { finals.push_back("fail " + std::to_string(call)); }
+  void start(Ms, const Order& order) override { started.push_back(order); }
+  void withdraw(Ms, uint64_t send, Outcome as) override { withdrawn.push_back({send, as}); }
+  void rank(Ms, uint64_t, int) override {}
+  void list(Ms, uint32_t engine, std::string_view address, Life) override {
+    addresses[engine] = std::string(address);
+  }
+};
+
+struct CoreTest : testing::Test {
+  const Articles articles{{"profile.0.name", std::string("quick")}, {"profile.0.effect", std::string("replayable")},
+                          {"sends at most", 3.0},                   {"may cancel", 1.0},
+                          {"cores.std", 8.0},                       {"tick", 5.0}};
+  Heard heard;
+  Counters counters;
+  Core core{articles, 1, heard, heard, counters, [](const std::string&) {}};
+
+  void list(const std::string& name, Life life = Life::kReady) {
+    NamedListing l{name, "127.0.0.1:1", {}};
+    l.listing.machine = "std";
+    l.listing.life = life;
+    core.roster(1000, false, {l});
+  }
+  TakeIn take(CallRef call, const char* id = "9b1f03aa5c7e2d41", const char* profile = "quick") {
+    Asked asked;
+    asked.command = id;
+    asked.profile = profile;
+    asked.statement = "select 1";
+    asked.timeout = 4000;
+    asked.estimate = 100;
+    return core.take_in(1000, call, std::move(asked));
+  }
+};
+
+TEST_F(CoreTest, ACommandGoesOutAndIsAnsweredOnce) {
+  list("s-00c41f7a");
+  EXPECT_EQ(take(1), TakeIn::kTaken);
+  core.turn(1000);
+  ASSERT_EQ(heard.started.size(), 1u);
+  EXPECT_EQ(heard.started[0].engine, 0x00c41f7au);
+  EXPECT_EQ(heard.started[0].statement, "select 1");
+  EXPECT_EQ(heard.started[0].until, 5000);
+  core.ended(1010, 1, Outcome::kOk, "a\n");
+  core.ended(1011, 1, Outcome::kOk, "late\n");
+  core.turn(1020);
+  EXPECT_EQ(heard.finals, std::vector<std::string>{"answer 1 a\n"});
+  EXPECT_EQ(core.in_hand(), 0u);
+}
+
+TEST_F(CoreTest, DecisionsComeOnceATick) {
+  list("s-1");
+  core.turn(1000);
+  take(1);
+  core.turn(1002);
+  EXPECT_TRUE(heard.started.empty());
+  EXPECT_EQ(core.next_due(), 1005);
+  core.turn(1005);
+  EXPECT_EQ(heard.started.size(), 1u);
+}
+
+TEST_F(CoreTest, ASendEndsWithItsClientsPatience) {
+  list("s-1");
+  take(1);
+  core.turn(1000);
+  core.turn(5000);
+  ASSERT_EQ(heard.withdrawn.size(), 1u);
+  EXPECT_EQ(heard.withdrawn[0].second, Outcome::kTimedOut);
+  core.ended(5000, 1, Outcome::kTimedOut);
+  core.turn(5005);
+  EXPECT_EQ(heard.finals, std::vector<std::string>{"fail 1"});
+}
+
+TEST_F(CoreTest, AClientThatLeftGetsNothingAndItsSendIsCalledOff) {
+  list("s-1");
+  take(1);
+  core.turn(1000);
+  core.client_gone(1010, 1);
+  core.turn(1010);
+  ASSERT_EQ(heard.withdrawn.size(), 1u);
+  EXPECT_EQ(heard.withdrawn[0].second, Outcome::kCancelled);
+  core.ended(1020, 1, Outcome::kOk, "a\n");
+  core.turn(1020);
+  EXPECT_TRUE(heard.finals.empty());
+  EXPECT_EQ(core.in_hand(), 0u);
+}
+
+TEST_F(CoreTest, WhatCannotBeTakenInIsTold) {
+  EXPECT_EQ(take(1, "9b1f03aa5c7e2d41", "odd"), TakeIn::kUnknownProfile);
+  EXPECT_EQ(take(2), TakeIn::kTaken);
+  EXPECT_EQ(take(3), TakeIn::kNotNew);
+  EXPECT_EQ(core.call_of("9b1f03aa5c7e2d41"), 2u);
+}
+
+TEST_F(CoreTest, AFullListEndsWhatItOmits) {
+  list("s-00000001");
+  core.roster(1000, true, {{"s-00000002", "127.0.0.1:2", {}}});
+  EXPECT_EQ(heard.addresses[1], "");
+  EXPECT_EQ(heard.addresses[2], "127.0.0.1:2");
+}
+
+}  // namespace
+}  // namespace firvalve
--- /dev/null
+++ b/tests/proto_test.cpp
@@ -0,0 +1,231 @@
+#include <gtest/gtest.h>
+
+#include "proto/base64.h"
+#include "proto/bus.h"
+#include "proto/http.h"
+#include "proto/query.h"
+#include "proto/rpc.h"
+#include "proto/statement.h"
+
+namespace firvalve::proto {
+namespace {
+
+const std::string kBody =
+    R"({"jsonrpc":"2.0","id":7,"method":"report","params":{"req":"9b1f03aa5c7e2d41","timeout":1500,"ms":820.0,)"
+    R"("mem":96,"bytes":"c2VsZWN0IDE="}})";
+
+std::string framed(const std::string& body) {
+  return "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+RpcCall read(std::string body) {
+  body += 'x';  // what follows in the buffer
+  const RpcCall call = read_call({body.data(), body.size() - 1});
+  EXPECT_EQ(body.back(), 'x');
+  return call;
+}
+
+Read feed(HttpReader& reader, Inbox& in, std::string_view bytes, HttpAnswer& answer) {
+  in.add(bytes);
+  return reader.next(in, answer);
+}
+
+TEST(RpcFrames, AByteAtATimeGivesEachMessageOnce) {
+  RpcFrames frames;
+  Inbox in;
+  std::span<char> body;
+  int whole = 0;
+  for (const char c : framed(kBody) + framed("{}")) {
+    in.add({&c, 1});
+    const Read read = frames.next(in, body);
+    ASSERT_NE(read, Read::kBroken);
+    if (read != Read::kWhole) continue;
+    EXPECT_EQ(body.size(), whole++ == 0 ? kBody.size() : 2);
+  }
+  EXPECT_EQ(whole, 2);
+}
+
+TEST(RpcFrames, BrokenFramingIsFinal) {
+  for (const std::string& bytes :
+       {std::string("Content-Length: x\r\n\r\n"), std::string("Length: 3\r\n\r\nabc"), std::string("\r\n\r\n"),
+        std::string("Content-Length: 999999999\r\n\r\n"), std::string("Content-Length: -1\r\n\r\n"),
+        std::string("no colon\r\n\r\n"), std::string(kRpcHeadMost, 'a'),
+        std::string("Content-Length: 2\r\nContent-Length: 3\r\n\r\n{}")}) {
+    RpcFrames frames;
+    Inbox in;
+    std::span<char> body;
+    in.add(bytes);
+    EXPECT_EQ(frames.next(in, body), Read::kBroken) << bytes.substr(0, 40);
+  }
+}
+
+TEST(RpcCalls, ACommandIsReadFromItsSlice) {
+  const RpcCall call = read(kBody);
+  ASSERT_EQ(call.kind, RpcCall::Kind::kCommand);
+  EXPECT_EQ(call.id, 7);
+  EXPECT_EQ(call.timeout, 1500);
+  EXPECT_EQ(call.estimate, 820);
+  EXPECT_EQ(call.memory_mb, 96);
+  EXPECT_EQ(call.statement, "select 1");
+}
+
+TEST(RpcCalls, WrongFieldsGetOneErrorThatIsNoShed) {
+  for (const char* body : {"{", "[]", R"({"jsonrpc":"2.0","id":1})", R"({"jsonrpc":"2.0","id":1,"method":"report"})",
+                           R"({"jsonrpc":"2.0","id":"a","method":"report","params":{}})",
+                           R"({"jsonrpc":"2.0","id":1,"method":"report","params":{"req":"zz","timeout":1}})",
+                           R"({"jsonrpc":"2.0","id":1,"method":"report","params":{"req":"9b1f03aa5c7e2d41","timeout":"1"}})",
+                           R"({"jsonrpc":"2.0","id":1,"method":"report","params":{"req":"9b1f03aa5c7e2d41","timeout":1,"bytes":"c"}})",
+                           R"({"jsonrpc":"2.0","id":1,"method":"report","params":{"req":"9b1f03aa5c7e2d41","timeout":-1,"bytes":""}})"}) {
+    const RpcCall call = read(body);
+    EXPECT_EQ(call.kind, RpcCall::Kind::kInvalid) << body;
+    EXPECT_NE(call.code, kRpcShed) << body;
+    EXPECT_LT(call.code, -32000) << body;
+  }
+}
+
+TEST(RpcCalls, DeepNestingIsNoCrash) { EXPECT_EQ(read(std::string(100000, '[')).kind, RpcCall::Kind::kInvalid); }
+
+TEST(RpcAnswers, AResultStatesItsLength) {
+  std::string out;
+  append_result(out, 7, "a\tb\tc\n");
+  const size_t head = out.find("\r\n\r\n") + 4;
+  EXPECT_EQ(out.substr(0, head), "Content-Length: " + std::to_string(out.size() - head) + "\r\n\r\n");
+  EXPECT_EQ(out.substr(head), R"({"jsonrpc":"2.0","id":7,"result":{"bytes":"YQliCWMK"}})");
+}
+
+TEST(Base64, RoundTripsEveryLength) {
+  std::string bytes;
+  for (int i = 0; i < 260; ++i) {
+    std::string text;
+    append_base64(text, bytes);
+    EXPECT_EQ(from_base64(text), bytes);
+    bytes += static_cast<char>(i);
+  }
+  for (const char* bad : {"a", "ab=a", "a===", "a b=", "\xff\xff\xff\xff"}) EXPECT_FALSE(from_base64(bad)) << bad;
+}
+
+TEST(Http, AByteAtATimeGivesTheWholeAnswer) {
+  HttpReader reader;
+  Inbox in;
+  HttpAnswer answer;
+  const std::string bytes = "HTTP/1.1 200 OK\r\nx-sheets: 3\r\nContent-Length: 4\r\n\r\na\tb\n";
+  for (size_t i = 0; i + 1 < bytes.size(); ++i) ASSERT_EQ(feed(reader, in, bytes.substr(i, 1), answer), Read::kMore);
+  ASSERT_EQ(feed(reader, in, bytes.substr(bytes.size() - 1), answer), Read::kWhole);
+  EXPECT_EQ(answer.status, 200);
+  EXPECT_EQ(answer.pages, 3);
+  EXPECT_EQ(answer.body, "a\tb\n");
+  EXPECT_TRUE(in.text().empty());
+}
+
+TEST(Http, GarbageAndOversizeAreBroken) {
+  for (const std::string& bytes :
+       {std::string("HTTP/2 200 OK\r\n\r\n"), std::string("HTTP/1.1 abc OK\r\n\r\n"),
+        std::string("HTTP/1.1 200 OK\r\n\r\n"), std::string("HTTP/1.1 200 OK\r\nContent-Length: 70000\r\n\r\n"),
+        std::string("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"), std::string(kHttpHeadMost, 'x'),
+        std::string("HTTP/1.1 100 Continue\r\nContent-Length: 0\r\n\r\n")}) {
+    HttpReader reader;
+    Inbox in;
+    HttpAnswer answer;
+    EXPECT_EQ(feed(reader, in, bytes, answer), Read::kBroken) << bytes.substr(0, 40);
+  }
+}
+
+HttpAnswer told(int status) {
+  HttpAnswer answer;
+  answer.status = status;
+  return answer;
+}
+
+TEST(Queries, AllPagesMakeTheAnswer) {
+  Query query;
+  EXPECT_EQ(query.hear(told(202)).next, Query::Next::kAsk);
+  HttpAnswer first = told(200);
+  first.pages = 2;
+  first.body = "a\n";
+  EXPECT_EQ(query.hear(first).next, Query::Next::kAsk);
+  std::string ask;
+  query.append_ask(ask, "9b1f03aa5c7e2d41", "h");
+  EXPECT_TRUE(ask.starts_with("GET /v1/store/9b1f03aa5c7e2d41/1 HTTP/1.1\r\n"));
+  HttpAnswer second = told(200);
+  second.page = 1;
+  second.body = "b\n";
+  EXPECT_EQ(query.hear(second).outcome, Outcome::kOk);
+  EXPECT_EQ(query.take_rows(), "a\nb\n");
+}
+
+TEST(Queries, OnlyNotBegunProvesThatNothingRan) {
+  const auto outcome = [](int status, bool not_begun) {
+    Query query;
+    HttpAnswer answer = told(status);
+    answer.not_begun = not_begun;
+    return query.hear(answer).outcome;
+  };
+  EXPECT_EQ(outcome(503, true), Outcome::kFull);
+  EXPECT_EQ(outcome(504, true), Outcome::kMoot);
+  for (const int status : {0, 200, 404, 500, 503, 504}) EXPECT_EQ(outcome(status, false), Outcome::kFailed);
+}
+
+TEST(Queries, AMissingOrWrongPageFails) {
+  for (const int64_t page : {-1, 0, 2}) {
+    Query query;
+    HttpAnswer first = told(200);
+    first.pages = 3;
+    query.hear(first);
+    HttpAnswer second = told(200);
+    second.page = page;
+    EXPECT_EQ(query.hear(second).outcome, Outcome::kFailed);
+  }
+}
+
+TEST(Queries, NotesAreReadAndUnreadableOnesPassedOver) {
+  Query query;
+  HttpAnswer answer = told(202);
+  answer.note = "held";
+  answer.value = "2";
+  const Query::Step step = query.hear(answer);
+  EXPECT_TRUE(step.noted);
+  EXPECT_EQ(step.note, NoteKind::kWaits);
+  EXPECT_EQ(step.value, 2);
+  answer.value = "two";
+  EXPECT_FALSE(query.hear(answer).noted);
+}
+
+std::optional<BusEvent> line(std::string text) { return read_bus_line({text.data(), text.size()}); }
+
+TEST(BusLines, EventsAndTheLastNumberAlone) {
+  const auto event = line(R"({"offset":41,"topology":{"version":7,"full":false,"servers":[{"id":"s-00c41f7a",)"
+                          R"("addr":"10.1.0.9:6565","zone":"east","kind":"std","cell":2,"state":"DRAINING",)"
+                          R"("weight":4,"started_ms":5}]}})");
+  ASSERT_TRUE(event);
+  EXPECT_EQ(event->offset, 41);
+  ASSERT_EQ(event->listings.size(), 1u);
+  EXPECT_EQ(event->listings[0].address, "10.1.0.9:6565");
+  EXPECT_EQ(event->listings[0].listing.life, Life::kDraining);
+  EXPECT_EQ(event->listings[0].listing.born, 5);
+  EXPECT_EQ(line(R"({"offset":42})")->offset, 42);
+  EXPECT_EQ(line("42")->offset, 42);
+}
+
+TEST(BusLines, GarbageIsUnreadable) {
+  for (const char* text : {"", "x", "{}", R"({"offset":"1"})", R"({"offset":1,"topology":{}})",
+                           R"({"offset":1,"topology":{"servers":[{"id":"s"}]}})",
+                           R"({"offset":1,"topology":{"servers":[{"id":"s","state":"ODD"}]}})"})
+    EXPECT_FALSE(line(text)) << text;
+  Inbox in;
+  std::span<char> out;
+  in.add(std::string(kBusLineMost + 1, ' '));
+  EXPECT_EQ(next_line(in, out), Read::kBroken);
+}
+
+TEST(Statements, TheGroupIsThatOfTheSchema) {
+  EXPECT_EQ(table_group("select a.x_3 from sales_17.orders a"), 17);
+  EXPECT_EQ(table_group("insert into \"sales_4\".\"orders\" values ('it''s log_9.x')"), 4);
+  EXPECT_EQ(table_group("select 'old_1.t' /* at_2.t /* nested */ -- */ from -- no_3.t\n b_5.t"), 5);
+  EXPECT_EQ(table_group("merge into staging.t_1 using x_6 . t"), 6);
+  EXPECT_EQ(table_group("select 1.5, t.c_7 from t"), -1);
+  for (const char* text : {"", "'", "/*", "\"", "a_.b", "_1.b", "a_99999999999999999999.b", "a_1"})
+    EXPECT_EQ(table_group(text), -1) << text;
+}
+
+}  // namespace
+}  // namespace firvalve::proto
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -620,5 +620,15 @@
   EXPECT_EQ(s.slab.size(), 1u);
 }
 
+TEST(Closing, NoCommandOutlastsItsGateway) {
+  State s = state_with(1, {profile(Effect::kReplayable)});
+  s.engines[0].life = Life::kGone;
+  add_command(s);
+  hear(s, 0, Closing{500});
+  Actions actions;
+  decide(s, 495, actions);
+  EXPECT_EQ(count_of(actions, Action::Kind::kShed), 1);
+}
+
 }  // namespace
 }  // namespace firvalve
