--- a/src/net/signals.cpp
+++ b/src/net/signals.cpp
@@ -21,19 +21,19 @@
   errno = kept;
 }
 
-Poco::Net::StreamSocket read_end(int& write_end) {
+Poco::Net::StreamSocket read_end() {
   int ends[2];
   if (::socketpair(AF_UNIX, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0, ends) != 0)
     throw std::runtime_error("no socket pair for signals");
-  write_end = ends[1];
+  tell = ends[1];
   return Poco::Net::StreamSocket(new Poco::Net::StreamSocketImpl(ends[0]));
 }
 
 }  // namespace
 
 Signals::Signals(Loop& loop, std::function<void(int)> heard)
-    : Link(loop, read_end(write_end_), Kind::kLocal), heard_(std::move(heard)) {
-  tell = write_end_;
+    : Link(loop, read_end(), Kind::kLocal), heard_(std::move(heard)) {
+  write_end_ = tell;
   struct sigaction action {};
   action.sa_handler = on_signal;
   action.sa_flags = SA_RESTART;
