One reply to clients, one hand-over of sends, one look-up in JSON; dead code out

Read again: answer, shed and fail each ended a call by themselves, start and ask each gave a connection its send, two parsers had the same look-up. The bound on unread answers now stands before every reply. Removed: Query::fetching, Pool::born, an unused parameter, a copy of the live list at each decision.

--- a/src/net/clients.cpp
+++ b/src/net/clients.cpp
@@ -173,7 +173,7 @@
   return connection;
 }
 
-void Clients::answer(CallRef call, std::string_view rows) {
+void Clients::reply(CallRef call, const std::function<void(std::string&, int64_t)>& append) {
   int64_t id = 0;
   Connection* const connection = close_call(call, id);
   if (!connection) return;
@@ -183,26 +183,22 @@
     return connection->finish();
   }
   std::string out;
-  proto::append_result(out, id, rows);
+  append(out, id);
   connection->write(out);
 }
 
+void Clients::answer(CallRef call, std::string_view rows) {
+  reply(call, [&](std::string& out, int64_t id) { proto::append_result(out, id, rows); });
+}
+
 void Clients::shed(CallRef call, Ms advice) {
-  int64_t id = 0;
-  Connection* const connection = close_call(call, id);
-  if (!connection) return;
-  std::string out;
-  proto::append_shed(out, id, advice);
-  connection->write(out);
+  reply(call, [&](std::string& out, int64_t id) { proto::append_shed(out, id, advice); });
 }
 
 void Clients::fail(CallRef call) {
-  int64_t id = 0;
-  Connection* const connection = close_call(call, id);
-  if (!connection) return;
-  std::string out;
-  proto::append_error(out, id, true, proto::kRpcFailed, "failed");
-  connection->write(out);
+  reply(call, [](std::string& out, int64_t id) {
+    proto::append_error(out, id, true, proto::kRpcFailed, "failed");
+  });
 }
 
 }  // namespace firvalve::net
--- a/src/net/clients.h
+++ b/src/net/clients.h
@@ -32,6 +32,7 @@
   };
 
   void on_accept(const Poco::AutoPtr<Poco::Net::ReadableNotification>&);
+  void reply(CallRef call, const std::function<void(std::string&, int64_t)>& append);
   Connection* close_call(CallRef call, int64_t& id);  // null: no such call
 
   Loop& loop_;
--- a/src/net/engines.cpp
+++ b/src/net/engines.cpp
@@ -112,11 +112,15 @@
   send.order = order;
   Connection* const link = link_to(order.engine);
   if (!link) return end(order.send, Outcome::kConnectFailed);
-  send.on = link;
-  link->task = Task::kSend;
-  link->send = order.send;
-  begin(*link, now);
-  if (link->up()) carry(*link, now);
+  give(*link, order.send, send, now);
+}
+
+void Engines::give(Connection& link, uint64_t id, Send& send, Ms now) {
+  send.on = &link;
+  link.task = Task::kSend;
+  link.send = id;
+  begin(link, now);
+  if (link.up()) carry(link, now);
 }
 
 void Engines::carry(Connection& link, Ms now) {
@@ -146,11 +150,7 @@
   send.unasked_since = now;
   Connection* const link = link_to(send.order.engine);
   if (!link) return end_unproven(id, Outcome::kReset);
-  send.on = link;
-  link->task = Task::kSend;
-  link->send = id;
-  begin(*link, now);
-  if (link->up()) carry(*link, now);
+  give(*link, id, send, now);
 }
 
 void Engines::hear(Connection& link, const proto::HttpAnswer& answer) {
--- a/src/net/engines.h
+++ b/src/net/engines.h
@@ -44,7 +44,6 @@
   };
   struct Pool {
     std::string address;
-    Ms born = 0;
     std::map<Connection*, std::unique_ptr<Connection>> links;
     std::vector<Connection*> idle;
   };
@@ -64,6 +63,7 @@
   void begin(Connection& link, Ms now);
   Ms ends_at(const Connection& link) const;  // 0: not by itself
   void look(Ms now);
+  void give(Connection& link, uint64_t id, Send& send, Ms now);
   void ask(uint64_t id, Send& send, Ms now);
   void errand(uint32_t engine, uint64_t send, std::string call, bool ends_send, Ms now);
   void end(uint64_t send, Outcome outcome, std::string rows = {});
--- a/src/net/link.cpp
+++ b/src/net/link.cpp
@@ -94,7 +94,7 @@
   if (!open_) return;
   if (!up_) return ended(End::kRefused);
   // What came before the reset is still read.
-  ready(true);
+  ready();
   if (open_ && socket_error() != 0) ended(End::kReset);
 }
 
@@ -110,7 +110,7 @@
   flush();
 }
 
-void Link::ready(bool) {
+void Link::ready() {
   if (!open_) return;
   if (!up_) return;
   const auto room = inbox_.room(kReadAtOnce);
--- a/src/net/link.h
+++ b/src/net/link.h
@@ -42,10 +42,10 @@
   proto::Inbox inbox_;
 
  private:
-  void on_readable(const Poco::AutoPtr<Poco::Net::ReadableNotification>&) { ready(true); }
+  void on_readable(const Poco::AutoPtr<Poco::Net::ReadableNotification>&) { ready(); }
   void on_writable(const Poco::AutoPtr<Poco::Net::WritableNotification>&);
   void on_error(const Poco::AutoPtr<Poco::Net::ErrorNotification>&);
-  void ready(bool readable);
+  void ready();
   void flush();
   void want(bool read, bool write);
   void ended(End end);
--- a/src/proto/bus.cpp
+++ b/src/proto/bus.cpp
@@ -1,17 +1,12 @@
 #include "proto/bus.h"
 
-#include <cmath>
+#include "proto/json.h"
 
 namespace firvalve::proto {
 namespace {
 
 using rapidjson::Value;
 
-const Value* member(const Value& v, const char* name) {
-  const auto at = v.FindMember(name);
-  return at == v.MemberEnd() ? nullptr : &at->value;
-}
-
 std::string text_of(const Value& v, const char* name) {
   const Value* text = member(v, name);
   return text && text->IsString() ? std::string(text->GetString(), text->GetStringLength()) : std::string();
--- a/src/proto/query.h
+++ b/src/proto/query.h
@@ -36,7 +36,6 @@
   Step hear(const HttpAnswer& answer);
   void append_ask(std::string& out, std::string_view id, std::string_view host) const;
   std::string take_rows() { return std::move(rows_); }
-  bool fetching() const { return page_ > 0; }  // it has ended well there, pages are to come
 
  private:
   int64_t page_ = 0, pages_ = 0;  // the next to ask for, and all; page 0 is also the news
--- a/src/proto/rpc.cpp
+++ b/src/proto/rpc.cpp
@@ -1,12 +1,11 @@
 #include "proto/rpc.h"
 
 #include <fmt/format.h>
-#include <rapidjson/document.h>
-
 #include <iterator>
 
 #include "proto/base64.h"
 #include "proto/head.h"
+#include "proto/json.h"
 
 namespace firvalve::proto {
 namespace {
@@ -15,11 +14,6 @@
 
 std::string_view text_of(const Value& v) { return {v.GetString(), v.GetStringLength()}; }
 
-const Value* member(const Value& v, const char* name) {
-  const auto at = v.FindMember(name);
-  return at == v.MemberEnd() ? nullptr : &at->value;
-}
-
 bool put_text(const Value& params, const char* name, std::string_view& out) {
   const Value* v = member(params, name);
   if (!v || !v->IsString()) return false;
--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -727,8 +727,9 @@
   std::erase_if(s.held_tables, [&](const HeldTables& h) { return now >= h.until; });
   std::erase_if(s.key_rests, [&](const KeyRest& k) { return now >= k.until; });
   // Guards against leaving commands without an answer: no client's patience outlasts this gateway.
-  for (const int i : s.closes_at > 0 ? s.live : std::vector<int>())
-    s.slab[i].asked.gives_up_at = std::min(s.slab[i].asked.gives_up_at, s.closes_at);
+  if (s.closes_at > 0)
+    for (const int i : s.live)
+      s.slab[i].asked.gives_up_at = std::min(s.slab[i].asked.gives_up_at, s.closes_at);
   judge_engines(s, now);
   draw_pool(s);
   review_out(s, now);
