SIGHUP re-reads the configuration and moves the event bus

A file that cannot be read is logged and the one before stays in force; only the bus's address moves, and its numbers go on. Test: ANewConfigurationMovesTheBusAndItsNumbersGoOn (without the change the program ends).

--- a/src/gateway/main.cpp
+++ b/src/gateway/main.cpp
@@ -39,7 +39,17 @@
   return v.GetString();
 }
 
-int run() {
+// What NODE_CONFIG's file says, read whole before any of it is used.
+struct Told {
+  std::string listen, bus;
+  uint64_t seed = 0;
+  int sockets = 0;
+  int64_t last = 0;  // the number of the last event known
+  std::vector<proto::BusEvent> known;
+  Articles articles;
+};
+
+Told read_told() {
   const char* const path = std::getenv("NODE_CONFIG");
   if (!path) throw Unusable("NODE_CONFIG is not set");
   std::ifstream file(path);
@@ -48,27 +58,18 @@
   all << file.rdbuf();
   const std::string json = all.str();
   rapidjson::Document config;
-  config.Parse(json.c_str());
+  config.Parse<rapidjson::kParseIterativeFlag>(json.c_str());
   if (config.HasParseError() || !config.IsObject()) throw Unusable("configuration is not a JSON object");
+  Told told;
   const rapidjson::Value& settings = field(config, "settings");
   if (!settings.IsObject()) throw Unusable("configuration: settings is not an object");
-  const Articles articles = articles_from(settings);
-  const uint64_t seed = std::strtoull(text(config, "seed").c_str(), nullptr, 16);
-
+  told.articles = articles_from(settings);
+  told.seed = std::strtoull(text(config, "seed").c_str(), nullptr, 16);
+  told.listen = text(config, "listen");
+  told.bus = text(config, "bus");
   const rapidjson::Value& limits = field(config, "limits");
   if (!limits.IsObject() || !field(limits, "sockets").IsInt()) throw Unusable("configuration: limits.sockets");
-  const int sockets = field(limits, "sockets").GetInt();  // clients hold a third of them at most
-
-  net::Loop loop;
-  Counters counters;
-  const Ms connect = number(articles, "connect time-out", 250);
-  net::Clients clients(loop, counters);
-  net::Engines engines(loop, counters, {connect, number(articles, "idle close", 15000)},
-                       sockets - sockets / 3 - kDescriptorsKept);
-  Core core(articles, seed, clients, engines, counters, log);
-  engines.serve(core);
-  net::Bus bus(loop, counters, text(config, "bus"), connect);
-
+  told.sockets = field(limits, "sockets").GetInt();
   const rapidjson::Value& known = field(config, "known");
   if (!known.IsObject()) throw Unusable("configuration: known is not an object");
   const rapidjson::Value& batch = field(known, "batch");
@@ -76,14 +77,42 @@
   for (const rapidjson::Value& one : batch.GetArray()) {
     auto event = proto::read_bus_event(one);
     if (!event) throw Unusable("configuration: an event of known.batch cannot be read");
-    net::tell_roster(core, loop.now(), std::move(*event));
+    told.known.push_back(std::move(*event));
   }
   const rapidjson::Value& offset = field(known, "offset");
-  bus.follow(core, offset.IsInt64() ? offset.GetInt64() : 0);
-  clients.listen(text(config, "listen"), core);
+  told.last = offset.IsInt64() ? offset.GetInt64() : 0;
+  return told;
+}
+
+int run() {
+  Told told = read_told();
+  const Articles& articles = told.articles;
+  net::Loop loop;
+  Counters counters;
+  const Ms connect = number(articles, "connect time-out", 250);
+  net::Clients clients(loop, counters);
+  net::Engines engines(loop, counters, {connect, number(articles, "idle close", 15000)},
+                       told.sockets - told.sockets / 3 - kDescriptorsKept);
+  Core core(articles, told.seed, clients, engines, counters, log);
+  engines.serve(core);
+  net::Bus bus(loop, counters, told.bus, connect);
+
+  for (proto::BusEvent& event : told.known) net::tell_roster(core, loop.now(), std::move(event));
+  bus.follow(core, told.last);
+  clients.listen(told.listen, core);
   Ms ended_at = 0;  // SIGTERM came then
   net::Signals signals(loop, [&](int number) {
     if (number == SIGUSR1) return log(counters.text());
+    // The event bus has moved. Everything else that a new file may say holds from the next start.
+    if (number == SIGHUP) {
+      counters.add("configurations read anew");
+      try {
+        bus.move(loop.now(), read_told().bus);
+      } catch (const std::exception& e) {
+        log(fmt::format("{}; the one before stays in force", e.what()));
+      }
+      return;
+    }
     if (ended_at > 0) return;
     Ms longest = 0;
     for (size_t i = 0; i < names_of(articles, "profile").size(); ++i)
--- a/src/net/bus.cpp
+++ b/src/net/bus.cpp
@@ -60,12 +60,23 @@
 
 void Bus::lost(Ms now) {
   if (!link_) return;
-  link_->close();
-  loop_.bury(std::move(link_));
+  leave();
   counters_.add("bus connections lost");
   due_at_ = now + connect_most_;
 }
 
+void Bus::leave() {
+  if (!link_) return;
+  link_->close();
+  loop_.bury(std::move(link_));
+}
+
+void Bus::move(Ms now, std::string address) {
+  address_ = std::move(address);
+  leave();
+  due_at_ = now;
+}
+
 void Bus::due(Ms now) {
   if (due_at_ == 0 || now < due_at_) return;
   if (link_) return lost(now);
--- a/src/net/bus.h
+++ b/src/net/bus.h
@@ -18,6 +18,7 @@
     core_ = &core;
     last_ = last;
   }
+  void move(Ms now, std::string address);  // the numbers go on
   void due(Ms now);
   Ms next_due() const { return due_at_; }
 
@@ -25,6 +26,7 @@
   class Connection;
   void hear(Ms now, std::span<char> line);
   void lost(Ms now);
+  void leave();
 
   Loop& loop_;
   Counters& counters_;
--- a/src/net/signals.cpp
+++ b/src/net/signals.cpp
@@ -12,6 +12,8 @@
 
 namespace {
 
+constexpr int kHeard[] = {SIGTERM, SIGINT, SIGHUP, SIGUSR1};
+
 volatile sig_atomic_t tell = -1;
 
 void on_signal(int number) {
@@ -37,12 +39,12 @@
   struct sigaction action {};
   action.sa_handler = on_signal;
   action.sa_flags = SA_RESTART;
-  for (const int number : {SIGTERM, SIGINT, SIGUSR1}) ::sigaction(number, &action, nullptr);
+  for (const int number : kHeard) ::sigaction(number, &action, nullptr);
   ::signal(SIGPIPE, SIG_IGN);
 }
 
 Signals::~Signals() {
-  for (const int number : {SIGTERM, SIGINT, SIGUSR1}) ::signal(number, SIG_DFL);
+  for (const int number : kHeard) ::signal(number, SIG_DFL);
   tell = -1;
   ::close(write_end_);
 }
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -154,9 +154,13 @@
     if (process_ > 0) ::kill(process_, SIGKILL), ::waitpid(process_, nullptr, 0);
     std::remove(path_.c_str());
   }
-  void start(const std::string& config) {
+  void write(const std::string& config) {
     path_ = testing::TempDir() + "firvalve-" + std::to_string(::getpid()) + ".json";
     std::ofstream(path_) << config;
+  }
+  void start(const std::string& config) {
+    config_ = config;
+    write(config);
     process_ = ::fork();
     if (process_ == 0) {
       ::setenv("NODE_CONFIG", path_.c_str(), 1);
@@ -216,7 +220,7 @@
     }
   }};
   std::atomic<int> bus_calls_ = 0;
-  std::string address_, path_;
+  std::string address_, path_, config_;
   pid_t process_ = 0;
 };
 
@@ -284,6 +288,26 @@
   EXPECT_EQ(exit_code(), 0);
 }
 
+TEST_F(Gateway, ANewConfigurationMovesTheBusAndItsNumbersGoOn) {
+  ask(command(1, "good"));  // it is ready
+  std::atomic<bool> asked = false;
+  StandIn moved([&](StreamSocket& peer) {
+    char bytes[64];
+    const int got = peer.receiveBytes(bytes, sizeof bytes);
+    asked = std::string(bytes, static_cast<size_t>(std::max(got, 0))).starts_with("from ");
+  });
+  std::ofstream(path_) << "{";
+  ::kill(process_, SIGHUP);  // cannot be read: the one before stays in force
+  EXPECT_TRUE(has(ask(command(2, "good")), R"("result")"));
+  std::string config = config_;
+  config.replace(config.find(bus_.address()), bus_.address().size(), moved.address());
+  write(config);
+  ::kill(process_, SIGHUP);
+  for (int i = 0; i < 5000 && !asked; ++i) ::usleep(1000);
+  EXPECT_TRUE(asked);
+  EXPECT_TRUE(has(ask(command(3, "good")), R"("result")"));
+}
+
 TEST_F(Gateway, WithoutAConfigurationItEndsAtOnce) {
   TearDown();
   start("{");
