One account of descriptors and bytes; silent clients end; engine calls asked again elsewhere

At fault: src/net/clients.cpp (no end for silent, half-spoken and idle connections, the listener read without a descriptor), src/net/engines.cpp (a call that carries a send had no end; one failure ended the send), src/proto/http.cpp (1xx, bytes behind an answer), src/proto/query.cpp (pages passed on unchecked).

--- a/src/core/core.cpp
+++ b/src/core/core.cpp
@@ -41,7 +41,15 @@
       back_(back),
       counters_(counters),
       log_(std::move(log)),
-      tick_(number(articles, "tick")) {}
+      tick_(number(articles, "tick")),
+      longest_timeout_(longest_timeout(articles)) {}
+
+Ms longest_timeout(const Articles& articles) {
+  Ms longest = 0;
+  for (size_t i = 0; i < names_of(articles, "profile").size(); ++i)
+    longest = std::max(longest, number(articles, fmt::format("profile.{}.client timeout", i)));
+  return longest;
+}
 
 void Core::hear_now(Ms now, const Event& event) {
   hear(state_, now, event);
@@ -51,12 +59,16 @@
 TakeIn Core::take_in(Ms now, CallRef call, Asked&& asked) {
   const auto profile = std::find(profiles_.begin(), profiles_.end(), asked.profile);
   if (profile == profiles_.end()) return TakeIn::kUnknownProfile;
+  // No client waits longer than its deployment says, or twice that where it is badly out of date.
+  if (longest_timeout_ > 0 && asked.timeout > 2 * longest_timeout_) return TakeIn::kOutOfRange;
+  if (held_bytes_ + asked.statement.size() > most_held_) return TakeIn::kNoRoom;
   const CommandId id = command_id(asked.command);
   const auto [at, added] = held_.try_emplace(id.text);
   if (!added) return TakeIn::kNotNew;
   Held& h = at->second;
   h.call = call;
   h.statement = std::move(asked.statement);
+  held_bytes_ += h.statement.size();
   h.profile = static_cast<int>(profile - profiles_.begin());
   h.gives_up_at = sooner(now + asked.timeout, closes_at_);
   calls_[call] = id.text;
@@ -89,7 +101,12 @@
 void Core::finish(HeldMap::iterator at) {
   calls_.erase(at->second.call);
   at->second.call = 0;
-  if (at->second.send == 0) held_.erase(at);
+  if (at->second.send == 0) erase(at);
+}
+
+void Core::erase(HeldMap::iterator at) {
+  held_bytes_ -= at->second.statement.size();
+  held_.erase(at);
 }
 
 // Gateways must agree on the order of engines, so the number comes from the name alone: its eight hex digits, or
@@ -156,7 +173,7 @@
     s.finished = true;
   } else if (h->second.call == 0) {
     s.finished = true;
-    held_.erase(h);
+    erase(h);
   }
   hear_now(now, s);
 }
--- a/src/core/core.h
+++ b/src/core/core.h
@@ -56,7 +56,9 @@
 // The sooner of two moments, where 0 is none.
 inline Ms sooner(Ms a, Ms b) { return a == 0 || (b > 0 && b < a) ? b : a; }
 
-enum class TakeIn { kTaken, kUnknownProfile, kNotNew };
+enum class TakeIn { kTaken, kUnknownProfile, kNotNew, kOutOfRange, kNoRoom };
+
+Ms longest_timeout(const Articles& articles);  // of any profile's clients; 0: not told
 
 struct NamedListing {
   std::string name, address;
@@ -74,6 +76,7 @@
   Core(const Articles& articles, uint64_t seed, Front& front, Back& back, Counters& counters,
        std::function<void(const std::string&)> log);
 
+  void limit(size_t bytes) { most_held_ = bytes; }  // of statements in hand
   TakeIn take_in(Ms now, CallRef call, Asked&& asked);
   void client_gone(Ms now, CallRef call);  // revoked, or its connection ended
   CallRef call_of(std::string_view command) const;  // 0: not in hand
@@ -106,6 +109,7 @@
   void hear_now(Ms now, const Event& event);
   void end_overdue(Ms now);
   void carry_out(Ms now, const Action& action);
+  void erase(HeldMap::iterator at);
   void finish(HeldMap::iterator at);  // answered: it stays for as long as a send is out
   uint32_t number_of(const std::string& name);
 
@@ -123,7 +127,8 @@
   std::map<Ms, uint64_t> bells_;
   Actions actions_;
   uint64_t last_send_ = 0;
-  const Ms tick_;
+  const Ms tick_, longest_timeout_;
+  size_t most_held_ = SIZE_MAX, held_bytes_ = 0;
   Ms decided_at_ = 0, closes_at_ = 0;
   Ms look_at_ = 0;     // no send out ends by its client's patience before; 0: none is out
   bool heard_ = true;  // at start the module is asked once
--- a/src/gateway/main.cpp
+++ b/src/gateway/main.cpp
@@ -19,7 +19,9 @@
 using namespace firvalve;
 
 constexpr Ms kEndLook = 5;        // between looks whether all is answered, while ending
-constexpr int kDescriptorsKept = 40;  // beside those of clients and engines: the bus, the listener, signals, files
+constexpr int kDescriptorsKept = 16;  // beside those of the links: standard streams, the reactor, the listener, files
+// Parts of the memory limit: of links' buffers, and of the statements in hand. The rest is the program's own.
+constexpr double kBufferPart = 0.4, kStatementPart = 0.2;
 
 void log(const std::string& line) { fmt::print(stderr, "firvalve: {}\n", line); }
 
@@ -44,6 +46,7 @@
   std::string listen, bus;
   uint64_t seed = 0;
   int sockets = 0;
+  double memory_mb = 0;
   int64_t last = 0;  // the number of the last event known
   std::vector<proto::BusEvent> known;
   Articles articles;
@@ -69,7 +72,9 @@
   told.bus = text(config, "bus");
   const rapidjson::Value& limits = field(config, "limits");
   if (!limits.IsObject() || !field(limits, "sockets").IsInt()) throw Unusable("configuration: limits.sockets");
+  if (!field(limits, "memory_mb").IsNumber()) throw Unusable("configuration: limits.memory_mb");
   told.sockets = field(limits, "sockets").GetInt();
+  told.memory_mb = field(limits, "memory_mb").GetDouble();
   const rapidjson::Value& known = field(config, "known");
   if (!known.IsObject()) throw Unusable("configuration: known is not an object");
   const rapidjson::Value& batch = field(known, "batch");
@@ -87,13 +92,15 @@
 int run() {
   Told told = read_told();
   const Articles& articles = told.articles;
+  const double bytes = told.memory_mb * 1024 * 1024;
   net::Loop loop;
+  loop.limit(told.sockets - kDescriptorsKept, static_cast<size_t>(kBufferPart * bytes));
   Counters counters;
   const Ms connect = number(articles, "connect time-out", 250);
   net::Clients clients(loop, counters);
-  net::Engines engines(loop, counters, {connect, number(articles, "idle close", 15000)},
-                       told.sockets - told.sockets / 3 - kDescriptorsKept);
+  net::Engines engines(loop, counters, {connect, number(articles, "idle close", 15000)});
   Core core(articles, told.seed, clients, engines, counters, log);
+  core.limit(static_cast<size_t>(kStatementPart * bytes));
   engines.serve(core);
   net::Bus bus(loop, counters, told.bus, connect);
 
@@ -114,22 +121,20 @@
       return;
     }
     if (ended_at > 0) return;
-    Ms longest = 0;
-    for (size_t i = 0; i < names_of(articles, "profile").size(); ++i)
-      longest = std::max(longest, firvalve::number(articles, fmt::format("profile.{}.client timeout", i)));
     ended_at = loop.now();
-    core.closing(ended_at, ended_at + proto::answers_end(longest));
+    core.closing(ended_at, ended_at + proto::answers_end(longest_timeout(articles)));
     log("ending: everything taken is answered first");
   });
   log("serving");
   loop.on_turn = [&](Ms now) {
     bus.due(now);
     engines.due(now);
+    clients.due(now);
     core.turn(now);
     if (ended_at > 0 && now >= ended_at + proto::kComingOn && core.unanswered() == 0 && clients.unsent() == 0)
       loop.stop();
     if (ended_at > 0) return now + kEndLook;
-    return sooner(sooner(bus.next_due(), engines.next_due()), core.next_due());
+    return sooner(sooner(bus.next_due(), clients.next_due()), sooner(engines.next_due(), core.next_due()));
   };
   loop.run();
   log(counters.text());
--- a/src/net/clients.cpp
+++ b/src/net/clients.cpp
@@ -1,7 +1,10 @@
 #include "net/clients.h"
 
 #include <Poco/NObserver.h>
-#include <Poco/Net/NetException.h>
+#include <Poco/Net/StreamSocketImpl.h>
+#include <sys/socket.h>
+
+#include <cerrno>
 
 #include "proto/statement.h"
 
@@ -11,16 +14,24 @@
 
 namespace {
 constexpr size_t kUnsentMost = 128 * 1024;  // bytes of answers waiting, past which a client is read no further
-constexpr size_t kAllUnsentMost = 96 * 1024 * 1024;  // of all clients: half the memory that a gateway is given
+constexpr Ms kLook = 250;                     // between looks at the clients' times
+constexpr int kAcceptAtOnce = 64;             // connections a turn, so that those open are heard in between
 }  // namespace
 
 class Clients::Connection : public Link {
  public:
-  Connection(Clients& owner, const StreamSocket& socket) : Link(owner.loop_, socket), owner_(owner) {}
+  Connection(Clients& owner, const StreamSocket& socket)
+      : Link(owner.loop_, socket, Kind::kClient), owner_(owner), since_(loop_.now()) {}
 
   std::map<int64_t, CallRef> open_calls;
   bool peer_done = false;
 
+  bool spare() const override { return open_calls.empty(); }
+  void spared() override {
+    owner_.counters_.add("client connections ended for want of room");
+    finish();
+  }
+
   void finish() {
     const Ms now = loop_.now();
     for (const auto& [id, call] : open_calls) {
@@ -35,10 +46,29 @@
     owner_.connections_.erase(at);
   }
 
+  // It can't be understood any further: an error without a number, the end of each call that is open, and its own.
+  void break_off(const char* why) {
+    owner_.counters_.add("client connections ended", why);
+    std::string out;
+    proto::append_error(out, 0, false, proto::kRpcUnreadable, why);
+    for (const auto& [id, call] : open_calls) proto::append_error(out, id, true, proto::kRpcFailed, "failed");
+    write(out);
+    finish();
+  }
+
   void answered() {
+    since_ = loop_.now();
     if (peer_done && open_calls.empty() && unsent() == 0) finish();
   }
 
+  // Guards against clients that connect and say nothing, stop within a message, ask once and stay, or do not read
+  // what they asked for. It may end a slow client's message; none that we know takes a part of that time.
+  void look(Ms now) {
+    if (part_since_ > 0 && now - part_since_ > proto::kRpcPartMost) return break_off("message cut short");
+    if (!spoken_ && now - since_ > proto::kRpcPartMost) return break_off("no message");
+    if (open_calls.empty() && now - since_ > proto::kRpcIdleMost) finish();
+  }
+
  protected:
   void on_bytes() override {
     std::span<char> body;
@@ -46,11 +76,15 @@
       // Guards the memory limit against a client that sends but does not read: its requests wait in the system.
       if (unsent() > kUnsentMost) return read_on(false);
       const proto::Read read = frames_.next(inbox_, body);
-      if (read == proto::Read::kMore) return;
-      if (read == proto::Read::kBroken) {
-        owner_.counters_.add("client connections ended for broken framing");
-        return finish();
+      if (read == proto::Read::kMore) {
+        const bool partly = frames_.in_message() || !inbox_.text().empty();
+        if (!partly || part_since_ == 0) part_since_ = partly ? loop_.now() : 0;
+        return;
       }
+      part_since_ = 0;
+      if (read == proto::Read::kBroken) return break_off("broken framing");
+      spoken_ = true;
+      since_ = loop_.now();
       hear(body);
       if (!open()) return;
     }
@@ -71,6 +105,9 @@
   void hear(std::span<char> body);
   Clients& owner_;
   proto::RpcFrames frames_;
+  bool spoken_ = false;  // a whole message has come
+  Ms since_ = 0;         // the last whole message or answer
+  Ms part_since_ = 0;    // a part of one has come; 0: none
 };
 
 void Clients::Connection::hear(std::span<char> body) {
@@ -87,8 +124,12 @@
     case proto::RpcCall::Kind::kRevoke: {
       const auto at = open_calls.find(call.revoked);
       const CallRef ref = at != open_calls.end() ? at->second : owner_.core_->call_of(call.command);
+      // Only what came over this connection: nobody takes back another's command.
+      const auto open = owner_.open_.find(ref);
       int64_t id = 0;
-      if (ref != 0 && owner_.close_call(ref, id)) owner_.core_->client_gone(loop_.now(), ref);
+      if (open == owner_.open_.end() || open->second.connection != this) break;
+      owner_.close_call(ref, id);
+      owner_.core_->client_gone(loop_.now(), ref);
       break;
     }
     case proto::RpcCall::Kind::kCommand: {
@@ -96,10 +137,8 @@
         refuse(-32600, "too many open requests");
         break;
       }
-      if (open_calls.count(call.id)) {
-        refuse(-32600, "id is in use");
-        break;
-      }
+      // Two calls under one number: no answer would tell which one it is for.
+      if (open_calls.count(call.id)) return break_off("number in use");
       Asked asked;
       asked.command = call.command;
       asked.profile = call.profile;
@@ -117,6 +156,13 @@
         case TakeIn::kUnknownProfile:
           refuse(-32601, "no such method");
           break;
+        case TakeIn::kOutOfRange:
+          refuse(-32602, "a figure is out of range");
+          break;
+        case TakeIn::kNoRoom:
+          owner_.counters_.add("calls not taken for want of memory");
+          proto::append_error(out, call.id, true, proto::kRpcFailed, "failed");
+          break;
         case TakeIn::kNotNew:
           refuse(-32602, "req is in hand already");
           break;
@@ -131,9 +177,12 @@
 
 Clients::Clients(Loop& loop, Counters& counters) : loop_(loop), counters_(counters) {}
 
-Clients::~Clients() {
-  if (listening_)
-    loop_.removeEventHandler(listener_, Poco::NObserver<Clients, ReadableNotification>(*this, &Clients::on_accept));
+Clients::~Clients() { accept_on(false); }
+
+void Clients::accept_on(bool on) {
+  const Poco::NObserver<Clients, ReadableNotification> observer(*this, &Clients::on_accept);
+  if (on != accepting_) on ? loop_.addEventHandler(listener_, observer) : loop_.removeEventHandler(listener_, observer);
+  accepting_ = on;
 }
 
 void Clients::listen(const std::string& address, Core& core) {
@@ -141,9 +190,18 @@
   listener_.bind(SocketAddress(address), true);
   listener_.listen(1024);
   listener_.setBlocking(false);
-  loop_.count(1);
-  loop_.addEventHandler(listener_, Poco::NObserver<Clients, ReadableNotification>(*this, &Clients::on_accept));
   listening_ = true;
+  accept_on(true);
+}
+
+void Clients::due(Ms now) {
+  if (now < look_at_) return;
+  look_at_ = now + kLook;
+  std::vector<Connection*> all;
+  for (const auto& [key, connection] : connections_) all.push_back(key);
+  for (Connection* const connection : all)
+    if (connection->open()) connection->look(now);
+  if (listening_ && !accepting_) accept_on(true);
 }
 
 size_t Clients::unsent() const {
@@ -153,13 +211,18 @@
 }
 
 void Clients::on_accept(const Poco::AutoPtr<ReadableNotification>&) {
-  try {
-    auto connection = std::make_unique<Connection>(*this, listener_.acceptConnection());
+  for (int i = 0; i < kAcceptAtOnce; ++i) {
+    // Guards against a loop that spins on connections it has no descriptor for: they wait in the system meanwhile.
+    if (!loop_.room(true)) return accept_on(false);
+    const int descriptor = ::accept4(listener_.impl()->sockfd(), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+    if (descriptor < 0) {
+      if (errno == EMFILE || errno == ENFILE || errno == ENOBUFS || errno == ENOMEM) accept_on(false);
+      return;
+    }
+    auto connection = std::make_unique<Connection>(*this, StreamSocket(new StreamSocketImpl(descriptor)));
     Connection* const key = connection.get();
     connections_[key] = std::move(connection);
     counters_.add("client connections");
-  } catch (const Poco::Exception&) {
-    // It went before it was accepted. Where no descriptor is left, it waits in the system for the next turn.
   }
 }
 
@@ -177,14 +240,10 @@
   int64_t id = 0;
   Connection* const connection = close_call(call, id);
   if (!connection) return;
-  // Guards the memory limit against many clients that do not read: the one answered now is given up.
-  if (connection->unsent() > kUnsentMost && unsent() > kAllUnsentMost) {
-    counters_.add("client connections ended for unread answers");
-    return connection->finish();
-  }
   std::string out;
   append(out, id);
   connection->write(out);
+  if (connection->open()) connection->answered();
 }
 
 void Clients::answer(CallRef call, std::string_view rows) {
--- a/src/net/clients.h
+++ b/src/net/clients.h
@@ -17,6 +17,8 @@
   Clients(Loop& loop, Counters& counters);
   ~Clients() override;
 
+  void due(Ms now);  // ends connections that have had their time, and accepts again once there is room
+  Ms next_due() const { return look_at_; }
   size_t unsent() const;  // bytes of answers that clients have not taken yet
 
   void listen(const std::string& address, Core& core);
@@ -31,6 +33,7 @@
     int64_t id = 0;
   };
 
+  void accept_on(bool on);
   void on_accept(const Poco::AutoPtr<Poco::Net::ReadableNotification>&);
   void reply(CallRef call, const std::function<void(std::string&, int64_t)>& append);
   Connection* close_call(CallRef call, int64_t& id);  // null: no such call
@@ -39,7 +42,8 @@
   Counters& counters_;
   Core* core_ = nullptr;
   Poco::Net::ServerSocket listener_;
-  bool listening_ = false;
+  bool listening_ = false, accepting_ = false;
+  Ms look_at_ = 0;
   std::map<Connection*, std::unique_ptr<Connection>> connections_;
   std::map<CallRef, Open> open_;
   CallRef last_call_ = 0;
--- a/src/net/engines.h
+++ b/src/net/engines.h
@@ -16,7 +16,7 @@
   struct Times {
     Ms connect = 0, idle = 0;  // until a connection must be up; until the engine closes an idle one
   };
-  Engines(Loop& loop, Counters& counters, Times times, int most_links);
+  Engines(Loop& loop, Counters& counters, Times times);
   ~Engines() override;
 
   void serve(Core& core) { core_ = &core; }
@@ -37,15 +37,18 @@
     Connection* on = nullptr;  // the connection that starts it or asks for its news
     bool begun = false;        // some of its start has been handed to a connection that is up
     bool told = false;         // all of it: it may have run
-    bool asked_again = false;  // on another connection, since its last answer
     bool given_up = false;
     Outcome as = Outcome::kCancelled;
-    Ms unasked_since = 0, ends_at = 0;  // 0: not by itself
+    Ms asked_at = 0;                 // the last call for it that may have come to its engine
+    Ms spoilt_since = 0, ask_at = 0;  // 0: not so; when to ask again, 0: not by itself
+    Ms ends_at = 0;                  // 0: not by itself
   };
   struct Pool {
-    std::string address;
+    std::string address;  // empty: it belongs to another engine by now
+    bool gone = false;
+    int sends = 0;
     std::map<Connection*, std::unique_ptr<Connection>> links;
-    std::vector<Connection*> idle;
+    std::vector<Connection*> idle;  // the one that has rested longest first
   };
   struct Ending {
     uint64_t send = 0;
@@ -53,7 +56,7 @@
     std::string rows;
   };
 
-  Connection* link_to(uint32_t engine);  // idle or new; null: none can be had
+  Connection* link_to(uint32_t engine, Ms now);  // idle or new; null: none can be had
   void drop(Connection& link);
   void rest(Connection& link, Ms now);
   void carry(Connection& link, Ms now);  // the link is up: what it is for goes out
@@ -64,15 +67,16 @@
   Ms ends_at(const Connection& link) const;  // 0: not by itself
   void look(Ms now);
   void give(Connection& link, uint64_t id, Send& send, Ms now);
-  void ask(uint64_t id, Send& send, Ms now);
+  void ask(uint64_t id, Ms now);
+  void ask_again(uint64_t id, Ms now);
   void errand(uint32_t engine, uint64_t send, std::string call, bool ends_send, Ms now);
+  void give_up(uint64_t id, Outcome as, Ms now);
   void end(uint64_t send, Outcome outcome, std::string rows = {});
-  void end_unproven(uint64_t send, Outcome outcome);
+  void forget(uint32_t engine);  // once it has gone and nothing of it is left
 
   Loop& loop_;
   Counters& counters_;
   Times times_;
-  int most_links_ = 0, links_ = 0;
   Core* core_ = nullptr;
   std::map<uint32_t, Pool> pools_;
   std::map<uint64_t, Send> sends_;
--- a/src/net/link.cpp
+++ b/src/net/link.cpp
@@ -14,16 +14,14 @@
 constexpr size_t kReadAtOnce = 16 * 1024;  // bytes: several messages, little for a thousand connections
 }
 
-Link::Link(Loop& loop, const StreamSocket& up, Kind kind) : loop_(loop), socket_(up), up_(true) {
-  loop_.count(1);
+Link::Link(Loop& loop, const StreamSocket& up, Kind kind) : loop_(loop), socket_(up), client_(kind == Kind::kClient), place_(loop.enter(*this)), up_(true) {
   socket_.setBlocking(false);
-  if (kind == Kind::kTcp) socket_.setNoDelay(true);
+  if (kind != Kind::kLocal) socket_.setNoDelay(true);
   loop_.addEventHandler(socket_, Poco::NObserver<Link, ErrorNotification>(*this, &Link::on_error));
   want(true, false);
 }
 
-Link::Link(Loop& loop, const SocketAddress& address) : loop_(loop) {
-  loop_.count(1);
+Link::Link(Loop& loop, const SocketAddress& address) : loop_(loop), place_(loop.enter(*this)) {
   try {
     socket_.connectNB(address);
     socket_.setNoDelay(true);
@@ -40,7 +38,9 @@
 void Link::close() {
   if (!open_) return;
   open_ = false;
-  loop_.count(-1);
+  loop_.buffered(buffered_, 0);
+  buffered_ = 0;
+  loop_.leave(place_);
   if (!refused_) {
     if (reading_)
       loop_.removeEventHandler(socket_, Poco::NObserver<Link, ReadableNotification>(*this, &Link::on_readable));
@@ -51,6 +51,19 @@
   socket_.close();
 }
 
+void Link::account() {
+  if (!open_) return;
+  const size_t now = inbox_.space() + out_.capacity();
+  loop_.buffered(buffered_, now);
+  buffered_ = now;
+}
+
+bool Link::quiet() const {
+  char byte;
+  return ::recv(socket_.impl()->sockfd(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0 &&
+         (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
 void Link::abort() {
   if (open_ && up_) {
     const linger now{1, 0};
@@ -117,8 +130,11 @@
   const ssize_t got = ::recv(socket_.impl()->sockfd(), room.data(), room.size(), 0);
   if (got > 0) {
     inbox_.filled(static_cast<size_t>(got));
+    loop_.touch(place_);
     on_bytes();
-    if (open_) inbox_.rest();
+    if (!open_) return;
+    inbox_.rest();
+    account();
   } else if (got == 0) {
     if (half_open()) return want(false, writing_);
     ended(End::kClosed);
@@ -131,12 +147,14 @@
   if (!open_) return;
   out_ += bytes;
   if (up_ && !writing_) flush();
+  account();
 }
 
 void Link::flush() {
   while (open_ && out_sent_ < out_.size()) {
     const ssize_t sent = ::send(socket_.impl()->sockfd(), out_.data() + out_sent_, out_.size() - out_sent_, MSG_NOSIGNAL);
     if (sent >= 0) {
+      loop_.touch(place_);
       out_sent_ += static_cast<size_t>(sent);
     } else if (errno == EAGAIN || errno == EWOULDBLOCK) {
       break;
@@ -149,11 +167,12 @@
   if (!open_) return;
   const bool all = out_sent_ == out_.size();
   if (all) {
-    const bool some = !out_.empty();
+    const bool waited = writing_;
     std::string().swap(out_);
     out_sent_ = 0;
-    if (writing_) want(reading_, false);
-    if (some) on_written();
+    account();
+    if (waited) want(reading_, false);
+    if (waited) on_written();
   } else if (!writing_) {
     want(reading_, true);
   }
--- a/src/net/link.h
+++ b/src/net/link.h
@@ -15,7 +15,7 @@
  public:
   enum class End { kClosed, kReset, kRefused };
 
-  enum class Kind { kTcp, kLocal };
+  enum class Kind { kTcp, kClient, kLocal };
 
   Link(Loop& loop, const Poco::Net::StreamSocket& up, Kind kind = Kind::kTcp);  // accepted
   Link(Loop& loop, const Poco::Net::SocketAddress& address);  // to be connected
@@ -23,18 +23,24 @@
   Link(const Link&) = delete;
   Link& operator=(const Link&) = delete;
 
+  bool from_client() const { return client_; }
+  virtual bool spare() const { return false; }  // nothing depends on it: it may be ended to make room
+  virtual void spared() {}                      // the room is wanted: it ends
+  size_t held() const { return buffered_; }     // bytes in its buffers
+
   void write(std::string_view bytes);  // what the socket does not take at once waits
   size_t unsent() const { return out_.size() - out_sent_; }
   bool up() const { return up_; }
   bool open() const { return open_; }
   void read_on(bool on);
   void close();  // without a word to the subclass
+  bool quiet() const;  // nothing has come that was not read, not even its end
   void abort();  // the same, and what the peer has not taken yet never reaches it
 
  protected:
   virtual void on_up() {}
   virtual void on_bytes() = 0;         // inbox holds more than before
-  virtual void on_written() {}         // nothing waits any longer
+  virtual void on_written() {}         // what had to wait has gone out
   virtual void on_end(End end) = 0;    // once; the link is closed by then, save after kClosed with half_open()
   virtual bool half_open() { return false; }  // after the peer's end: keep the connection to write on
 
@@ -47,13 +53,16 @@
   void on_error(const Poco::AutoPtr<Poco::Net::ErrorNotification>&);
   void ready();
   void flush();
+  void account();
   void want(bool read, bool write);
   void ended(End end);
   int socket_error();
 
   Poco::Net::StreamSocket socket_;
   std::string out_;
-  size_t out_sent_ = 0;
+  size_t out_sent_ = 0, buffered_ = 0;
+  const bool client_ = false;
+  Loop::Place place_;
   bool up_ = false, open_ = true, reading_ = false, writing_ = false, refused_ = false;
 };
 
--- a/src/net/loop.h
+++ b/src/net/loop.h
@@ -1,9 +1,11 @@
-// The reactor's turns: sockets are heard first, then what is due, then the decisions, once.
+// The reactor's turns: sockets are heard first, then what is due, then the decisions, once. And the two accounts that
+// all links share: of descriptors and of buffered bytes.
 #pragma once
 
 #include <Poco/Net/SocketReactor.h>
 
 #include <functional>
+#include <list>
 #include <memory>
 #include <vector>
 
@@ -20,8 +22,20 @@
 
   Ms now();                               // Unix time, never backwards; one value for the whole of a turn
   void bury(std::unique_ptr<Link> link);  // destroyed once nothing of this turn can refer to it
-  void count(int descriptors) { descriptors_ += descriptors; }
-  int descriptors() const { return descriptors_; }
+
+  // The most that all links together may hold: descriptors, and bytes in their buffers.
+  void limit(int descriptors, size_t bytes);
+  // Whether there is a descriptor for one more link. Where none is left, the idlest link that nothing depends on goes;
+  // a new client takes no engine's place once clients hold their third.
+  bool room(bool for_client);
+  size_t most_buffered() const { return most_bytes_; }
+
+  // For links alone: what they hold.
+  using Place = std::list<Link*>::iterator;
+  Place enter(Link& link);
+  void leave(Place place);
+  void touch(Place place) { links_.splice(links_.end(), links_, place); }  // the least idle now
+  void buffered(size_t before, size_t now) { bytes_ += now - before; }
 
  protected:
   void onBusy() override;
@@ -29,10 +43,14 @@
 
  private:
   void end_turn();
+  void shrink();
+  Link* idlest(bool clients_alone, bool with_bytes, bool spare_alone) const;
 
   Ms now_ = 0;
   bool turn_open_ = false;
-  int descriptors_ = 0;
+  std::list<Link*> links_;  // the idlest first
+  int clients_ = 0, most_descriptors_ = 1024;
+  size_t bytes_ = 0, most_bytes_ = 16 * 1024 * 1024;
   std::vector<std::unique_ptr<Link>> buried_;
 };
 
--- a/src/proto/http.h
+++ b/src/proto/http.h
@@ -9,7 +9,7 @@
 namespace firvalve::proto {
 
 constexpr size_t kHttpHeadMost = 8 * 1024;   // bytes of an answer's head
-constexpr size_t kHttpBodyMost = 64 * 1024;  // bytes of an answer's body: ten times the largest page
+constexpr size_t kHttpBodyMost = 6000;       // bytes of an answer's body: the largest page
 
 struct HttpAnswer {
   int status = 0;
@@ -19,7 +19,7 @@
   std::string_view body;
 };
 
-// Reads one answer; wants reset() before the next.
+// Reads one answer, past any 1xx ahead of it; wants reset() before the next.
 class HttpReader {
  public:
   Read next(Inbox& in, HttpAnswer& answer);  // slices are good until the inbox's next room()
--- a/src/proto/inbox.h
+++ b/src/proto/inbox.h
@@ -29,6 +29,7 @@
   std::span<char> held() { return {bytes_.data() + first_, last_ - first_}; }
   std::string_view text() const { return {bytes_.data() + first_, last_ - first_}; }
   void used(size_t count) { first_ += count; }
+  size_t space() const { return bytes_.capacity(); }
   // Gives the space back where nothing is held, so that idle connections cost little.
   void rest() {
     if (first_ == last_) {
--- a/src/proto/query.cpp
+++ b/src/proto/query.cpp
@@ -25,6 +25,28 @@
   return false;
 }
 
+// Whole rows of text: a tab between columns, a line feed after each row, nothing else that is no text.
+bool whole_rows(std::string_view body) {
+  int tabs = 0;
+  for (size_t i = 0; i < body.size(); ++i) {
+    const auto c = static_cast<unsigned char>(body[i]);
+    if (c == '\t') {
+      ++tabs;
+    } else if (c == '\n') {
+      if (tabs != kColumns - 1) return false;
+      tabs = 0;
+    } else if (c < ' ' || c == 127) {
+      return false;
+    } else if (c >= 128) {  // UTF-8: a lead byte and those that follow it
+      const size_t more = c >= 0xf0 && c < 0xf5 ? 3 : c >= 0xe0 && c < 0xf0 ? 2 : c >= 0xc2 && c < 0xe0 ? 1 : 0;
+      if (more == 0 || i + more >= body.size()) return false;
+      for (size_t k = 0; k < more; ++k)
+        if ((static_cast<unsigned char>(body[++i]) & 0xc0) != 0x80) return false;
+    }
+  }
+  return body.empty() || body.back() == '\n';
+}
+
 }  // namespace
 
 void append_start(std::string& out, const QueryCall& c) {
@@ -64,12 +86,16 @@
   }
   if (answer.status == 503 && answer.not_begun && page_ == 0) return ended(Outcome::kFull);
   if (answer.status == 504 && answer.not_begun && page_ == 0) return ended(Outcome::kMoot);
+  if (answer.status == 500) return ended(Outcome::kFailed);
+  // Guards against passing on what noise, cuts and wrong lengths have made of a good answer; the query has run, and
+  // its engine gives the same again. Where the engine itself makes such pages, that costs the time it is asked.
+  step.next = Next::kSpoilt;
   const int64_t told = page_ == 0 ? answer.pages : answer.page;
-  if (answer.status != 200 || (page_ == 0 ? told < 1 : told != page_)) return ended(Outcome::kFailed);
+  if (answer.status != 200 || (page_ == 0 ? told < 1 : told != page_)) return step;
+  if (!whole_rows(answer.body) || rows_.size() + answer.body.size() > kRowsMost) return step;
   if (page_ == 0) pages_ = told;
-  // Guards the memory limit against an engine that sends more than a client may get.
-  if (rows_.size() + answer.body.size() > kRowsMost) return ended(Outcome::kFailed);
   rows_ += answer.body;
+  step.next = Next::kAsk;
   return ++page_ == pages_ ? ended(Outcome::kOk) : step;
 }
 
--- a/src/proto/query.h
+++ b/src/proto/query.h
@@ -9,7 +9,9 @@
 namespace firvalve::proto {
 
 constexpr Ms kUnaskedMost = 2000;        // a query that is not asked for so long has ended on its engine
-constexpr size_t kRowsMost = 64 * 1024;  // bytes of a result: a third past what a client may be sent
+constexpr Ms kNewsWait = 250;            // the news of a query comes within it, if only to say that there is none
+constexpr size_t kRowsMost = 48000;      // bytes of a result
+constexpr int kColumns = 3;              // of text, in each row of a result
 
 struct QueryCall {
   std::string_view id, profile, statement, host;
@@ -24,7 +26,7 @@
 // Hears the answers to the calls of one send, in turn, and says which call comes next.
 class Query {
  public:
-  enum class Next { kAsk, kEnded };
+  enum class Next { kAsk, kEnded, kSpoilt };  // spoilt: no answer to that call; it can be asked for again
   struct Step {
     Next next = Next::kAsk;
     Outcome outcome = Outcome::kFailed;  // once ended
--- a/src/proto/rpc.cpp
+++ b/src/proto/rpc.cpp
@@ -83,10 +83,10 @@
   rapidjson::Document message;
   message.ParseInsitu<rapidjson::kParseIterativeFlag>(body.data());
   behind = kept;
-  if (message.HasParseError()) return invalid(call, -32700, "not JSON");
+  if (message.HasParseError()) return invalid(call, kRpcUnreadable, "not JSON");
   if (!message.IsObject()) return invalid(call, -32600, "not a request");
   if (const Value* id = member(message, "id")) {
-    if (!id->IsInt64() || id->GetInt64() < 0) return invalid(call, -32600, "id is not a whole number");
+    if (!id->IsInt64() || id->GetInt64() < 1) return invalid(call, -32600, "id is no number from 1 up");
     call.has_id = true;
     call.id = id->GetInt64();
   }
--- a/src/proto/rpc.h
+++ b/src/proto/rpc.h
@@ -5,17 +5,21 @@
 #include <string>
 
 #include "proto/inbox.h"
+#include "rules.h"
 
 namespace firvalve::proto {
 
 constexpr size_t kRpcHeadMost = 1024;         // bytes of a head
 constexpr size_t kRpcBodyMost = 128 * 1024;   // bytes of a message: a statement, well past any sent by hand
+constexpr Ms kRpcPartMost = 2000;             // for a message to come whole: such clients are owed an end within 3 s
+constexpr Ms kRpcIdleMost = 4500;             // without a call open: clients themselves close after 4 s
 constexpr size_t kRpcOpenMost = 32;           // open requests a connection, by the protocol
 
 // Finds the next message in what is held. Broken framing is final.
 class RpcFrames {
  public:
   Read next(Inbox& in, std::span<char>& body);  // the body is good until the inbox's next room()
+  bool in_message() const { return in_body_; }
 
  private:
   bool in_body_ = false;
@@ -31,7 +35,7 @@
   const char* why = "";
   std::string_view profile, command;  // slices of the body
   int64_t revoked = 0;                // the id of the request given up, 0: told by the command alone
-  double timeout = 0, estimate = 0, memory_mb = 0;
+  Ms timeout = 0, estimate = 0, memory_mb = 0;
   std::string statement;  // decoded: it outlives the message
 };
 
@@ -43,6 +47,6 @@
 void append_healthy(std::string& out, int64_t id, bool healthy);
 void append_error(std::string& out, int64_t id, bool has_id, int code, std::string_view message);
 void append_shed(std::string& out, int64_t id, double stay_away_ms);
-constexpr int kRpcFailed = -32000, kRpcShed = -32001;
+constexpr int kRpcFailed = -32000, kRpcShed = -32001, kRpcUnreadable = -32700;
 
 }  // namespace firvalve::proto
--- a/src/rules.h
+++ b/src/rules.h
@@ -25,7 +25,8 @@
 
 enum class Effect { kReplayable, kUniqued, kNonReplayable };
 enum class Group { kAll, kZone, kCell };
-enum class Outcome { kOk, kFailed, kFull, kTimedOut, kConnectFailed, kReset, kCancelled, kMoot };
+// Spoilt: it may have run, and what came in between tells nothing of its engine.
+enum class Outcome { kOk, kFailed, kFull, kTimedOut, kConnectFailed, kReset, kCancelled, kMoot, kSpoilt };
 enum class Life { kGone, kReady, kDraining };
 enum class NoteKind { kProgress = 1, kSpills = 2, kWaits = 3 };
 
