An id is new again only once its end is decided on; figures no client can have are refused

Listing the sends in flight at the engines beside the module's showed sends that the module counted as out for good: an id taken back and sent again within one turn stood twice in the module, which then took the one for the other (src/core/core.cpp, erase at once). Trials wait for an engine without sends, so none was ever tried again. Also seen in the same log: ms of 1e9 and mem of 1e12, which the module's means learned. Ruled out: sends stuck at the engines (each had a call of under 350 ms in flight).

--- a/src/core/core.cpp
+++ b/src/core/core.cpp
@@ -42,7 +42,15 @@
       counters_(counters),
       log_(std::move(log)),
       tick_(number(articles, "tick")),
-      longest_timeout_(longest_timeout(articles)) {}
+      longest_timeout_(longest_timeout(articles)) {
+  double cores = 0, memory_mb = 0;
+  for (const auto& [name, value] : articles) {
+    if (name.starts_with("cores.")) cores = std::max(cores, number(articles, name));
+    if (name.starts_with("memory.")) memory_mb = std::max(memory_mb, number(articles, name));
+  }
+  most_estimate_ = kRough * longest_timeout_ * cores;
+  most_memory_mb_ = kRough * memory_mb;
+}
 
 Ms longest_timeout(const Articles& articles) {
   Ms longest = 0;
@@ -59,8 +67,10 @@
 TakeIn Core::take_in(Ms now, CallRef call, Asked&& asked) {
   const auto profile = std::find(profiles_.begin(), profiles_.end(), asked.profile);
   if (profile == profiles_.end()) return TakeIn::kUnknownProfile;
-  // No client waits longer than its deployment says, or twice that where it is badly out of date.
-  if (longest_timeout_ > 0 && asked.timeout > 2 * longest_timeout_) return TakeIn::kOutOfRange;
+  // Guards the module's means against figures that no client of this deployment can have. It may cost one whose settings
+  // are long out of date.
+  if (asked.timeout > 2 * longest_timeout_ || asked.estimate > most_estimate_ || asked.memory_mb > most_memory_mb_)
+    return TakeIn::kOutOfRange;
   if (held_bytes_ + asked.statement.size() > most_held_) return TakeIn::kNoRoom;
   const CommandId id = command_id(asked.command);
   const auto [at, added] = held_.try_emplace(id.text);
@@ -106,7 +116,8 @@
 
 void Core::erase(HeldMap::iterator at) {
   held_bytes_ -= at->second.statement.size();
-  held_.erase(at);
+  std::string().swap(at->second.statement);
+  done_.push_back(at->first);
 }
 
 // Gateways must agree on the order of engines, so the number comes from the name alone: its eight hex digits, or
@@ -210,6 +221,8 @@
   actions_.clear();
   decide(state_, now, actions_);
   for (const Action& a : actions_) carry_out(now, a);
+  for (const Id& id : done_) held_.erase(id);
+  done_.clear();
 }
 
 void Core::carry_out(Ms now, const Action& a) {
--- a/src/core/core.h
+++ b/src/core/core.h
@@ -53,6 +53,9 @@
   double memory_mb = 0;
 };
 
+// Estimates are rough. One of so many times what the largest engine can give within the longest client timeout is none.
+constexpr double kRough = 10;
+
 // The sooner of two moments, where 0 is none.
 inline Ms sooner(Ms a, Ms b) { return a == 0 || (b > 0 && b < a) ? b : a; }
 
@@ -91,12 +94,15 @@
   // within the stated tick are decided together at its end.
   void turn(Ms now);
   Ms next_due() const;  // the moment at which turn() must be called at the latest; 0: none
-  size_t in_hand() const { return held_.size(); }      // with those answered of which a send is out
+  size_t in_hand() const { return held_.size() - done_.size(); }      // with those answered of which a send is out
   size_t unanswered() const { return calls_.size(); }
 
  private:
   using Id = std::array<char, 16>;
-  struct Held {  // until it has its answer and nothing of it is out
+  // Until it has its answer, nothing of it is out, and the module has decided since: until then its id is not new.
+  // Guards against a client that says the same again at once, or takes it back: the module would take the one for the
+  // other and count a send as out for good.
+  struct Held {
     CallRef call = 0;
     std::string statement;
     int profile = 0, sends = 0, priority = -1;
@@ -122,12 +128,15 @@
   HeldMap held_;
   std::map<CallRef, Id> calls_;
   std::map<uint64_t, Id> sends_;
+  std::vector<Id> done_;  // held until the next decisions alone
   std::map<std::string, uint32_t> numbers_;
   std::map<uint32_t, std::string> listed_;  // names by number, of engines not gone
   std::map<Ms, uint64_t> bells_;
   Actions actions_;
   uint64_t last_send_ = 0;
   const Ms tick_, longest_timeout_;
+  Ms most_estimate_ = 0;
+  double most_memory_mb_ = 0;
   size_t most_held_ = SIZE_MAX, held_bytes_ = 0;
   Ms decided_at_ = 0, closes_at_ = 0;
   Ms look_at_ = 0;     // no send out ends by its client's patience before; 0: none is out
--- a/src/proto/rpc.cpp
+++ b/src/proto/rpc.cpp
@@ -109,7 +109,7 @@
   std::string_view bytes;
   if (!put_text(*params, "req", call.command) || !is_command_id(call.command))
     return invalid(call, -32602, "req is not 16 hex digits");
-  if (!member(*params, "timeout") || !put_figure(*params, "timeout", call.timeout))
+  if (!member(*params, "timeout") || !put_figure(*params, "timeout", call.timeout) || call.timeout < 1)
     return invalid(call, -32602, "timeout is not a number of milliseconds");
   if (!put_figure(*params, "ms", call.estimate) || !put_figure(*params, "mem", call.memory_mb))
     return invalid(call, -32602, "an estimate is not a number");
--- a/tests/core_test.cpp
+++ b/tests/core_test.cpp
@@ -26,7 +26,8 @@
 struct CoreTest : testing::Test {
   const Articles articles{{"profile.0.name", std::string("quick")}, {"profile.0.effect", std::string("replayable")},
                           {"sends at most", 3.0},                   {"may cancel", 1.0},
-                          {"cores.std", 8.0},                       {"tick", 5.0}};
+                          {"cores.std", 8.0},                       {"tick", 5.0},
+                          {"memory.std", 1000.0},                   {"profile.0.client timeout", 4000.0}};
   Heard heard;
   Counters counters;
   Core core{articles, 1, heard, heard, counters, [](const std::string&) {}};
@@ -107,6 +108,39 @@
   EXPECT_EQ(core.call_of("9b1f03aa5c7e2d41"), 2u);
 }
 
+TEST_F(CoreTest, FiguresThatNoClientCanHaveAreNotTakenIn) {
+  const auto figures = [&](Ms timeout, Ms estimate, double memory_mb) {
+    return core.take_in(1000, 1, {"9b1f03aa5c7e2d41", "quick", "select 1", -1, timeout, estimate, memory_mb});
+  };
+  EXPECT_EQ(figures(1e23, 100, 10), TakeIn::kOutOfRange);
+  EXPECT_EQ(figures(4000, 1e9, 10), TakeIn::kOutOfRange);
+  EXPECT_EQ(figures(4000, 100, 1e12), TakeIn::kOutOfRange);
+  EXPECT_EQ(core.in_hand(), 0u);
+  EXPECT_EQ(figures(4000, 100, 10), TakeIn::kTaken);
+}
+
+TEST_F(CoreTest, AnIdIsNewAgainOnlyOnceItsEndIsDecidedOn) {
+  list("s-00000001");
+  core.turn(1000);
+  take(1);
+  core.client_gone(1000, 1);
+  EXPECT_EQ(take(2), TakeIn::kNotNew);
+  core.turn(1005);
+  EXPECT_EQ(take(3), TakeIn::kTaken);
+  core.client_gone(1005, 3);
+  core.turn(1010);
+  EXPECT_TRUE(heard.started.empty());
+  EXPECT_EQ(core.in_hand(), 0u);
+}
+
+TEST_F(CoreTest, StatementsInHandStayWithinTheirBytes) {
+  core.limit(10);
+  EXPECT_EQ(take(1), TakeIn::kTaken);
+  EXPECT_EQ(take(2, "0000000000000002"), TakeIn::kNoRoom);
+  core.client_gone(1000, 1);
+  EXPECT_EQ(take(3, "0000000000000003"), TakeIn::kTaken);
+}
+
 TEST_F(CoreTest, AFullListEndsWhatItOmits) {
   list("s-00000001");
   core.roster(1000, true, {{"s-00000002", "127.0.0.1:2", {}}});
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -147,7 +147,7 @@
     start(R"({"name":"n1","listen":")" + address_ +
           R"(","seed":"8c1f30d27a5be964","limits":{"cores":1.0,"memory_mb":192,"sockets":1024},"bus":")" + bus_.address() +
           R"(","known":{"offset":1,"batch":[)" + topology(1, true, listing("s-0000000a", engine_.address(), "SERVING")) +
-          R"(]},"settings":{"peers_total":1,"shapes":["std"],"specifics":{"cores_by_kind":[8],"class_threads":[1,1]},)"
+          R"(]},"settings":{"peers_total":1,"shapes":["std"],"specifics":{"cores_by_kind":[8],"memory_by_kind_mb":[1000],"class_threads":[1,1]},)"
           R"("ceilings":{"cancel":true,"try_limit":1,"dial_timeout":250000000,"conn_idle":15000000000},"profiles":[)"
           R"({"name":"quick","semantics":"idempotent","slo":800000000,"credit":1.0,"deadline":4000000000},)"
           R"({"name":"once","semantics":"at_most_once","slo":800000000,"credit":1.0,"deadline":4000000000}]}})");
