--- a/src/net/engines.cpp
+++ b/src/net/engines.cpp
@@ -46,7 +46,7 @@
     reader.reset();
     owner_.hear(*this, answer);
   }
-  void on_end(End) override { owner_.lost(*this, Loss::kEnded); }
+  void on_end(End end) override { owner_.lost(*this, end == End::kRefused ? Loss::kRefused : Loss::kEnded); }
 
  private:
   Engines& owner_;
@@ -234,7 +234,7 @@
 
 // A connection has ended, or its call has had no answer in its time. What that proves: one that never came up, or took
 // only part of the start, has begun nothing. Else the query may run on; only a process that refuses to be asked is
-// known to have died, and the query with it.
+// known to have died, and the query with it; a connection that is reset when new says nothing.
 void Engines::lost(Connection& link, Loss loss) {
   const Ms now = loop_.now();
   const uint64_t id = link.send;
@@ -244,7 +244,7 @@
   const auto at = sends_.find(id);
   if (at == sends_.end()) return;
   Send& send = at->second;
-  const bool died = !was_up && loss == Loss::kEnded;
+  const bool died = loss == Loss::kRefused;
   if (task == Task::kErrand && ends_send)
     return died ? end(id, send.as) : errand(send.order.engine, id, {}, true, now);
   if (task != Task::kSend) return;
--- a/src/net/engines.h
+++ b/src/net/engines.h
@@ -61,7 +61,7 @@
   void rest(Connection& link, Ms now);
   void carry(Connection& link, Ms now);  // the link is up: what it is for goes out
   void hear(Connection& link, const proto::HttpAnswer& answer);
-  enum class Loss { kEnded, kSilent };
+  enum class Loss { kRefused, kEnded, kSilent };
   void lost(Connection& link, Loss loss);
   void begin(Connection& link, Ms now);
   Ms ends_at(const Connection& link) const;  // 0: not by itself
--- a/src/net/link.cpp
+++ b/src/net/link.cpp
@@ -105,7 +105,7 @@
 
 void Link::on_error(const Poco::AutoPtr<ErrorNotification>&) {
   if (!open_) return;
-  if (!up_) return ended(End::kRefused);
+  if (!up_) return ended(socket_error() == ECONNREFUSED ? End::kRefused : End::kReset);
   // What came before the reset is still read.
   ready();
   if (open_ && socket_error() != 0) ended(End::kReset);
@@ -114,7 +114,7 @@
 void Link::on_writable(const Poco::AutoPtr<WritableNotification>&) {
   if (!open_) return;
   if (!up_) {
-    if (socket_error() != 0) return ended(End::kRefused);
+    if (const int error = socket_error()) return ended(error == ECONNREFUSED ? End::kRefused : End::kReset);
     up_ = true;
     want(true, false);
     on_up();
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -99,6 +99,7 @@
  private:
   void serve(StreamSocket& peer) {
     std::string held;
+    if (resets_due_.exchange(0) > 0) return reset(peer);
     for (std::string call = read_message(peer, held, &ending); !call.empty();
          call = read_message(peer, held, &ending)) {
       std::string word;
@@ -117,11 +118,21 @@
         answer = call.find("/1 HTTP") != std::string::npos ? http("200 OK", "X-Sheet: 1\r\n", "c\td\te\n")
                                                            : http("200 OK", "X-Sheets: 2\r\n", "a\tb\tc\n");
       if (word == "junk" && !call.starts_with("DELETE")) answer = "junk\r\n\r\n";
+      // Two connections are reset, the first under the start of the query, the next when new.
+      if (word == "rset" && ++resets_ <= 1) resets_due_ = 1;
+      if (word == "rset" && resets_ <= 1) return reset(peer);
+      if (word == "rset") answer = http("200 OK", "X-Sheets: 1\r\n", "a\tb\tc\n") + "noise";
       if (word == "mute" && !call.starts_with("DELETE")) continue;
       peer.sendBytes(answer.data(), static_cast<int>(answer.size()));
     }
   }
 
+  static void reset(StreamSocket& peer) {
+    peer.setLinger(true, 0);
+    peer.close();
+  }
+
+  std::atomic<int> resets_ = 0, resets_due_ = 0;
   std::mutex mutex_;
   std::vector<std::string> calls_;
   std::map<std::string, std::string> words_;
@@ -239,6 +250,13 @@
   EXPECT_TRUE(has(answer, R"("code":-32000)")) << answer;
 }
 
+TEST_F(Gateway, AResetConnectionOrNoiseBehindAnAnswerCostsNoQuery) {
+  const std::string answer = ask(command(1, "rset", 4000, "once"));
+  EXPECT_TRUE(has(answer, R"("code":-32000)")) << answer;  // its engine never gives it without noise
+  EXPECT_EQ(engine_.calls("POST"), 1);
+  EXPECT_GT(engine_.calls("GET"), 1);
+}
+
 TEST_F(Gateway, ASilentEngineCostsNoAnswer) {
   const std::string answer = ask(command(1, "mute", 400));
   EXPECT_TRUE(has(answer, R"("error")")) << answer;
