--- a/src/core/core.cpp
+++ b/src/core/core.cpp
@@ -146,11 +146,16 @@
     r.listings.push_back(l.listing);
     back_.list(now, l.listing.engine, l.address, l.listing.life);
     if (l.listing.life != Life::kGone) kept[l.listing.engine] = l.name;
-    if (l.listing.life == Life::kGone) listed_.erase(l.listing.engine);
+    if (l.listing.life != Life::kGone) continue;
+    listed_.erase(l.listing.engine);
+    numbers_.erase(l.name);
   }
   if (full) {
-    for (const auto& [engine, name] : listed_)
-      if (!kept.count(engine)) back_.list(now, engine, {}, Life::kGone);
+    for (const auto& [engine, name] : listed_) {
+      if (kept.count(engine)) continue;
+      back_.list(now, engine, {}, Life::kGone);
+      numbers_.erase(name);
+    }
     listed_.clear();
   }
   listed_.insert(kept.begin(), kept.end());
--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -244,6 +244,7 @@
     }
     if (joins) e->sign_at = now;
   }
+  forget_gone(s);
 }
 
 void hear_taken(State& s, Ms now, const Taken& t) {
@@ -734,9 +735,8 @@
   draw_pool(s);
   review_out(s, now);
   review_line(s, now);
-  bool in_hand = false;
-  for (const int place : s.live) in_hand |= !s.slab[place].ended;
-  s.want_bell = in_hand ? now + kBeat : 0;
+  const auto in_hand = [&](int place) { return !s.slab[place].ended; };
+  s.want_bell = std::any_of(s.live.begin(), s.live.end(), in_hand) ? now + kBeat : 0;
   emit(s, now, out);
 }
 
--- a/src/state.cpp
+++ b/src/state.cpp
@@ -61,6 +61,24 @@
   return *e;
 }
 
+void forget_gone(State& s) {
+  const auto gone = [](const Engine& e) { return e.life == Life::kGone; };
+  const auto all_gone = static_cast<size_t>(std::count_if(s.engines.begin(), s.engines.end(), gone));
+  if (2 * all_gone <= s.engines.size()) return;
+  for (size_t i = s.engines.size(); i-- > 0;) {
+    const int place = static_cast<int>(i);
+    const auto refers = [&](int live) {
+      const Command& c = s.slab[live];
+      return c.engine == place || c.want_engine == place || c.risked_on == place;
+    };
+    if (!gone(s.engines[i]) || std::any_of(s.live.begin(), s.live.end(), refers)) continue;
+    s.engines.erase(s.engines.begin() + place);
+    for (const int live : s.live)
+      for (int* held : {&s.slab[live].engine, &s.slab[live].want_engine, &s.slab[live].risked_on})
+        if (*held > place) --*held;
+  }
+}
+
 Command* command_of(State& s, const CommandId& id) {
   for (const int place : s.live)
     if (s.slab[place].asked.id == id) return &s.slab[place];
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -630,5 +630,17 @@
   EXPECT_EQ(count_of(actions, Action::Kind::kShed), 1);
 }
 
+TEST(Engines, TheGoneAreForgottenOnceNoCommandRefersToThem) {
+  State s = state_with(1, {profile(Effect::kReplayable)});
+  Command& c = add_command(s);
+  for (uint32_t id = 1; id <= 6; ++id) engine_of(s, id).life = Life::kGone;
+  put_out(s, c, 6, 0);  // on the one that is ready, behind those
+  c.risked_on = 2;
+  forget_gone(s);
+  ASSERT_EQ(s.engines.size(), 2u);
+  EXPECT_EQ(s.engines[static_cast<size_t>(c.engine)].id, 10u);
+  EXPECT_EQ(s.engines[static_cast<size_t>(c.risked_on)].id, 3u);
+}
+
 }  // namespace
 }  // namespace firvalve
