What may run anywhere leaves room to what waits for the machine it is bound to

A list of the module's levels each second showed one big-12 ready of four, its threads at its limit all the time, taken by seven loads and a few lookups, one report out and 30 to 70 held, while other engines had room: a report wants four free threads at once, and each one or two that came free went to what could have run anywhere (src/rules.cpp, choose).

--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -128,10 +128,6 @@
 
 bool in_window(const Profile& p, Ms since, Ms now) { return now + kRepeatSlack < since + p.repeat_window; }
 
-bool never_ran(Outcome o) {
-  return o == Outcome::kFull || o == Outcome::kConnectFailed || o == Outcome::kMoot;
-}
-
 // ---- Predictions --------------------------------------------------------------------------------
 
 void predict(State& s, Command& c) {
@@ -140,11 +136,8 @@
   c.cost = std::max(1.0, base * (c.asked.estimate > 0 && p.correction > 0 ? p.correction : 1));
   c.alone = (p.told ? c.cost * std::max(1.0, p.base) : p.base > 0 ? base * p.base : c.cost) / p.threads;
   blend(p.mean_cost, c.alone * p.threads, kLearn);
-  if (s.recent_costs.size() < kRecent) {
-    s.recent_costs.push_back(c.cost);
-  } else {
-    s.recent_costs[s.recent_next++ % kRecent] = c.cost;
-  }
+  if (s.recent_costs.size() < kRecent) s.recent_costs.push_back(0);
+  s.recent_costs[s.recent_next++ % kRecent] = c.cost;
   c.heavy = p.is_load || (s.heavy_from > 0 && c.cost >= s.heavy_from);
   s.all_work = s.all_work * kWorkFade + c.cost;
   s.heavy_work = s.heavy_work * kWorkFade + (c.heavy ? c.cost : 0);
@@ -338,7 +331,9 @@
     e.closed_from_mb = 0;
     e.closed_until = now + kFullRest;  // guards against spending every further send on one closed door
   }
-  if (!never_ran(r.outcome) && !c.may_have_run) {
+  const bool never_ran =
+      r.outcome == Outcome::kFull || r.outcome == Outcome::kConnectFailed || r.outcome == Outcome::kMoot;
+  if (!never_ran && !c.may_have_run) {
     c.may_have_run = true;
     c.risked_on = c.engine;
     c.risked_at = c.sent_at;
@@ -575,15 +570,14 @@
   const bool quick = is_short(s, c);
   const bool readers =
       std::any_of(s.profiles.begin(), s.profiles.end(), [](const Profile& x) { return x.waits; });
-  const bool held_long = now - c.held_since > kHeavyHold;
+  const bool held_long = now - c.held_since > kHeavyHold, anywhere = p.machines.empty();
   bool usable = false, crowded = true;  // the first choice: an engine that works; all over their cores
   for (const bool pool : {c.heavy, !c.heavy}) {
     s.drawn.clear();
     double room = 0, threads_out = 0;  // of all engines in this half that would do
-    // Loads that readers would stand still behind overflow when every pool engine is over its cores, as the
-    // design says, or once held as long as heavy commands are; other heavy ones when the pool's level is
-    // reached. Light ones use spare room in the pool, save those that would stand still behind its loads:
-    // these only where no light engine works.
+    // Loads that readers would stand still behind overflow when every pool engine is over its cores, as by
+    // design, or once held as long as heavy commands are; other heavy ones when the pool's level is reached.
+    // Light ones use spare room there; those that would stand still behind its loads if no light one works.
     if (pool != c.heavy && usable && (c.heavy ? p.is_load && readers && !crowded && !held_long : p.waits))
       break;
     for (size_t i = 0; i < s.engines.size(); ++i) {
@@ -609,7 +603,7 @@
         continue;
       }
       const ColdRoom cold = cold_room(s, e, p.mean_cost, now);
-      if (cold == ColdRoom::kShut || stands_still(s, c, e)) continue;
+      if (cold == ColdRoom::kShut || stands_still(s, c, e) || (e.awaited && anywhere && !quick)) continue;
       if (cold == ColdRoom::kMyTurn) return static_cast<int>(i);
       s.drawn.push_back(static_cast<int>(i));
     }
@@ -626,6 +620,8 @@
     const auto easy = [&](int i) { return s.engines[i].crowding < kStretchLow; };
     if (std::any_of(s.drawn.begin(), s.drawn.end(), easy))
       std::erase_if(s.drawn, [&](int i) { return s.engines[i].crowding > kStretchHigh; });
+    const auto kept = [&](int i) { return anywhere && s.engines[i].awaited; };
+    if (!std::all_of(s.drawn.begin(), s.drawn.end(), kept)) std::erase_if(s.drawn, kept);
     const size_t count = s.drawn.size(), one = s.chance.next() % count;
     const size_t two = count > 1 ? (one + 1 + s.chance.next() % (count - 1)) % count : one;
     const auto load = [&](int i) {
@@ -673,6 +669,7 @@
 // What is held: most benefit for its work first; each goes out where there is room, or waits, or ends.
 void review_line(State& s, Ms now) {
   s.line.clear();
+  for (Engine& e : s.engines) e.awaited = std::exchange(e.awaits, false);
   for (const int place : s.live) {
     const Command& c = s.slab[place];
     if (!c.ended && !c.out && c.want == Want::kHold) s.line.push_back(place);
@@ -709,7 +706,12 @@
     }
     if (now < c.rest_until || !has_turn(s, c, now) || (c.sends > 0 && !budget_left(s, now))) continue;
     const int i = choose(s, c, now);
-    if (i < 0) continue;
+    if (i < 0) {
+      // Guards against filling, bit by bit, the machines that a command is bound to: what may run anywhere
+      // leaves them to it. It may hold loads where no other machine has room.
+      for (Engine& e : s.engines) e.awaited |= e.awaits |= !p.machines.empty() && allowed(p, e);
+      continue;
+    }
     if (c.sends > 0) s.further.add(now);  // here, so that the next in line sees it
     c.want = Want::kOut;
     c.want_engine = i;
@@ -793,9 +795,7 @@
     }
   }
   if (s.want_bell > 0 && s.bell_at == 0) {
-    Action& a = out.emplace_back();
-    a.kind = Action::Kind::kBell;
-    a.wait = s.want_bell - now;
+    act(Action::Kind::kBell, {}).wait = s.want_bell - now;
     s.bell_at = s.want_bell;
   }
 }
--- a/src/rules.h
+++ b/src/rules.h
@@ -153,6 +153,7 @@
   double usual = 1;         // stretch, with that of its kin where it has few outcomes of its own
   int kind = 0, kin = 0;    // places in the state's machines and kin
   bool limit_met = false;
+  bool awaited = false, awaits = false;  // a command bound to it found no room: now or in the last look; now
   Ms limit_moved_at = 0;
   Ms closed_until = 0;  // it turned a send away, or let one wait that needs this much memory
   double closed_from_mb = 0;
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -642,5 +642,26 @@
   EXPECT_EQ(s.engines[static_cast<size_t>(c.risked_on)].id, 3u);
 }
 
+TEST(Line, WhatMayRunAnywhereLeavesRoomToWhatIsBound) {
+  State s = state_with(2, {profile(Effect::kReplayable, 4), profile(Effect::kReplayable, 2)});
+  s.profiles[0].machines = {"big"};
+  s.machines = {"", "big"};
+  s.kin.resize(4);
+  s.engines[1].machine = "big";
+  s.engines[1].kind = 1;
+  for (Engine& e : s.engines) {
+    e.limit = 4;
+    e.threads_out = e.sends_out = 2;
+  }
+  s.engines[0].threads_out = 4;  // full
+  Command& bound = add_command(s);
+  add_command(s, 1).cost = 1000;  // worth less for its work
+  review_line(s, 0);
+  EXPECT_EQ(s.slab[1].want, Want::kHold);
+  s.engines[1].threads_out = 0;
+  review_line(s, 0);
+  EXPECT_EQ(bound.want_engine, 1);
+}
+
 }  // namespace
 }  // namespace firvalve
