Only what is worth less than the waiting command leaves its machine to it

Now what stands behind the waiting command in line alone leaves its machine to it; quick ones prefer other engines as before.

--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -603,7 +603,7 @@
         continue;
       }
       const ColdRoom cold = cold_room(s, e, p.mean_cost, now);
-      if (cold == ColdRoom::kShut || stands_still(s, c, e) || (e.awaited && anywhere && !quick)) continue;
+      if (cold == ColdRoom::kShut || stands_still(s, c, e) || (e.awaits && anywhere && !quick)) continue;
       if (cold == ColdRoom::kMyTurn) return static_cast<int>(i);
       s.drawn.push_back(static_cast<int>(i));
     }
