The outcome 'spoilt' has its name among the counters

Found by the sanitizers: src/core/core.cpp read past its list of names when a send ended as spoilt, which in the optimized build counted it under whatever stood behind. Test: FailsWhatItsEngineGarbles, which ends that way.

--- a/src/core/core.cpp
+++ b/src/core/core.cpp
@@ -10,7 +10,7 @@
 namespace {
 
 constexpr std::string_view kOutcomes[] = {"ok",    "failed",    "full", "timed out", "connect failed",
-                                          "reset", "cancelled", "moot"};
+                                          "reset",          "cancelled", "moot",   "spoilt"};
 
 CommandId command_id(std::string_view text) {
   CommandId id;
