--- a/src/core/articles.h
+++ b/src/core/articles.h
@@ -1,5 +1,5 @@
-// The reader of what a gateway is told at start, shared by the gateway and the drill: nested JSON of the operators'
-// names to a flat map of ours, in our units.
+// The reader of what a gateway is told at start, shared by the gateway and the drill: nested JSON of the
+// operators' names to a flat map of ours, in our units.
 #pragma once
 
 #include <rapidjson/document.h>
--- a/src/core/core.cpp
+++ b/src/core/core.cpp
@@ -10,7 +10,7 @@
 namespace {
 
 constexpr std::string_view kOutcomes[] = {"ok",    "failed",    "full", "timed out", "connect failed",
-                                          "reset",          "cancelled", "moot",   "spoilt"};
+                                          "reset", "cancelled", "moot", "spoilt"};
 
 CommandId command_id(std::string_view text) {
   CommandId id;
@@ -67,9 +67,10 @@
 TakeIn Core::take_in(Ms now, CallRef call, Asked&& asked) {
   const auto profile = std::find(profiles_.begin(), profiles_.end(), asked.profile);
   if (profile == profiles_.end()) return TakeIn::kUnknownProfile;
-  // Guards the module's means against figures that no client of this deployment can have. It may cost one whose settings
-  // are long out of date.
-  if (asked.timeout > 2 * longest_timeout_ || asked.estimate > most_estimate_ || asked.memory_mb > most_memory_mb_)
+  // Guards the module's means against figures that no client of this deployment can have. It may cost one
+  // whose settings are long out of date.
+  if (asked.timeout > 2 * longest_timeout_ || asked.estimate > most_estimate_ ||
+      asked.memory_mb > most_memory_mb_)
     return TakeIn::kOutOfRange;
   if (held_bytes_ + asked.statement.size() > most_held_) return TakeIn::kNoRoom;
   const CommandId id = command_id(asked.command);
@@ -120,8 +121,8 @@
   done_.push_back(at->first);
 }
 
-// Gateways must agree on the order of engines, so the number comes from the name alone: its eight hex digits, or
-// else a hash of it.
+// Gateways must agree on the order of engines, so the number comes from the name alone: its eight hex digits,
+// or else a hash of it.
 uint32_t Core::number_of(const std::string& name) {
   const auto known = numbers_.find(name);
   if (known != numbers_.end()) return known->second;
--- a/src/core/core.h
+++ b/src/core/core.h
@@ -1,5 +1,5 @@
-// The core: owns the module's state, ties commands to client calls and sends to engine calls. It does no I/O and
-// reads no clock: clients stand behind Front, engines behind Back, and time comes in with every call.
+// The core: owns the module's state, ties commands to client calls and sends to engine calls. It does no I/O
+// and reads no clock: clients stand behind Front, engines behind Back, and time comes in with every call.
 #pragma once
 
 #include <cstdint>
@@ -34,12 +34,14 @@
   int priority = -1;  // below 0: the engine's own choice
 };
 
-// What carries sends to engines. Each send started ends once, by Core::ended, never within one of these calls.
+// What carries sends to engines. Each send started ends once, by Core::ended, never within one of these
+// calls.
 class Back {
  public:
   virtual ~Back() = default;
   virtual void start(Ms now, const Order& order) = 0;
-  virtual void withdraw(Ms now, uint64_t send, Outcome as) = 0;  // gives it up; it ends as that, or as it does
+  virtual void withdraw(Ms now, uint64_t send,
+                        Outcome as) = 0;  // gives it up; it ends as that, or as it does
   virtual void rank(Ms now, uint64_t send, int priority) = 0;
   virtual void list(Ms now, uint32_t engine, std::string_view address, Life life) = 0;
 };
@@ -53,7 +55,8 @@
   double memory_mb = 0;
 };
 
-// Estimates are rough. One of so many times what the largest engine can give within the longest client timeout is none.
+// Estimates are rough. One of so many times what the largest engine can give within the longest client
+// timeout is none.
 constexpr double kRough = 10;
 
 // The sooner of two moments, where 0 is none.
@@ -81,7 +84,7 @@
 
   void limit(size_t bytes) { most_held_ = bytes; }  // of statements in hand
   TakeIn take_in(Ms now, CallRef call, Asked&& asked);
-  void client_gone(Ms now, CallRef call);  // revoked, or its connection ended
+  void client_gone(Ms now, CallRef call);           // revoked, or its connection ended
   CallRef call_of(std::string_view command) const;  // 0: not in hand
   void roster(Ms now, bool full, std::vector<NamedListing> listings);
   void noted(Ms now, uint64_t send, NoteKind kind, double value);
@@ -90,18 +93,20 @@
   // This gateway ends at that moment: until then everything taken in gets its answer.
   void closing(Ms now, Ms at);
 
-  // Once after the events of one reactor turn: what they call for is decided and carried out. Turns that follow
-  // within the stated tick are decided together at its end.
+  // Once after the events of one reactor turn: what they call for is decided and carried out. Turns that
+  // follow within the stated tick are decided together at its end.
   void turn(Ms now);
   Ms next_due() const;  // the moment at which turn() must be called at the latest; 0: none
-  size_t in_hand() const { return held_.size() - done_.size(); }      // with those answered of which a send is out
+  size_t in_hand() const {
+    return held_.size() - done_.size();
+  }  // with those answered of which a send is out
   size_t unanswered() const { return calls_.size(); }
 
  private:
   using Id = std::array<char, 16>;
-  // Until it has its answer, nothing of it is out, and the module has decided since: until then its id is not new.
-  // Guards against a client that says the same again at once, or takes it back: the module would take the one for the
-  // other and count a send as out for good.
+  // Until it has its answer, nothing of it is out, and the module has decided since: until then its id is not
+  // new. Guards against a client that says the same again at once, or takes it back: the module would take
+  // the one for the other and count a send as out for good.
   struct Held {
     CallRef call = 0;
     std::string statement;
--- a/src/gateway/main.cpp
+++ b/src/gateway/main.cpp
@@ -18,8 +18,9 @@
 
 using namespace firvalve;
 
-constexpr Ms kEndLook = 5;        // between looks whether all is answered, while ending
-constexpr int kDescriptorsKept = 16;  // beside those of the links: standard streams, the reactor, the listener, files
+constexpr Ms kEndLook = 5;  // between looks whether all is answered, while ending
+constexpr int kDescriptorsKept =
+    16;  // beside those of the links: standard streams, the reactor, the listener, files
 // Parts of the memory limit: of links' buffers, and of the statements in hand. The rest is the program's own.
 constexpr double kBufferPart = 0.4, kStatementPart = 0.2;
 
@@ -71,7 +72,8 @@
   told.listen = text(config, "listen");
   told.bus = text(config, "bus");
   const rapidjson::Value& limits = field(config, "limits");
-  if (!limits.IsObject() || !field(limits, "sockets").IsInt()) throw Unusable("configuration: limits.sockets");
+  if (!limits.IsObject() || !field(limits, "sockets").IsInt())
+    throw Unusable("configuration: limits.sockets");
   if (!field(limits, "memory_mb").IsNumber()) throw Unusable("configuration: limits.memory_mb");
   told.sockets = field(limits, "sockets").GetInt();
   told.memory_mb = field(limits, "memory_mb").GetDouble();
--- a/src/net/bus.cpp
+++ b/src/net/bus.cpp
@@ -8,7 +8,8 @@
 
 class Bus::Connection : public Link {
  public:
-  Connection(Bus& owner, const Poco::Net::SocketAddress& address) : Link(owner.loop_, address), owner_(owner) {}
+  Connection(Bus& owner, const Poco::Net::SocketAddress& address)
+      : Link(owner.loop_, address), owner_(owner) {}
 
  protected:
   void on_up() override {
--- a/src/net/clients.cpp
+++ b/src/net/clients.cpp
@@ -13,9 +13,10 @@
 using namespace Poco::Net;
 
 namespace {
-constexpr size_t kUnsentMost = 128 * 1024;  // bytes of answers waiting, past which a client is read no further
-constexpr Ms kLook = 250;                     // between looks at the clients' times
-constexpr int kAcceptAtOnce = 64;             // connections a turn, so that those open are heard in between
+constexpr size_t kUnsentMost =
+    128 * 1024;                    // bytes of answers waiting, past which a client is read no further
+constexpr Ms kLook = 250;          // between looks at the clients' times
+constexpr int kAcceptAtOnce = 64;  // connections a turn, so that those open are heard in between
 }  // namespace
 
 class Clients::Connection : public Link {
@@ -46,7 +47,8 @@
     owner_.connections_.erase(at);
   }
 
-  // It can't be understood any further: an error without a number, the end of each call that is open, and its own.
+  // It can't be understood any further: an error without a number, the end of each call that is open, and its
+  // own.
   void break_off(const char* why) {
     owner_.counters_.add("client connections ended", why);
     std::string out;
@@ -61,8 +63,9 @@
     if (peer_done && open_calls.empty() && unsent() == 0) finish();
   }
 
-  // Guards against clients that connect and say nothing, stop within a message, ask once and stay, or do not read
-  // what they asked for. It may end a slow client's message; none that we know takes a part of that time.
+  // Guards against clients that connect and say nothing, stop within a message, ask once and stay, or do not
+  // read what they asked for. It may end a slow client's message; none that we know takes a part of that
+  // time.
   void look(Ms now) {
     if (part_since_ > 0 && now - part_since_ > proto::kRpcPartMost) return break_off("message cut short");
     if (!spoken_ && now - since_ > proto::kRpcPartMost) return break_off("no message");
@@ -73,7 +76,8 @@
   void on_bytes() override {
     std::span<char> body;
     for (;;) {
-      // Guards the memory limit against a client that sends but does not read: its requests wait in the system.
+      // Guards the memory limit against a client that sends but does not read: its requests wait in the
+      // system.
       if (unsent() > kUnsentMost) return read_on(false);
       const proto::Read read = frames_.next(inbox_, body);
       if (read == proto::Read::kMore) {
@@ -181,7 +185,8 @@
 
 void Clients::accept_on(bool on) {
   const Poco::NObserver<Clients, ReadableNotification> observer(*this, &Clients::on_accept);
-  if (on != accepting_) on ? loop_.addEventHandler(listener_, observer) : loop_.removeEventHandler(listener_, observer);
+  if (on != accepting_)
+    on ? loop_.addEventHandler(listener_, observer) : loop_.removeEventHandler(listener_, observer);
   accepting_ = on;
 }
 
@@ -212,9 +217,11 @@
 
 void Clients::on_accept(const Poco::AutoPtr<ReadableNotification>&) {
   for (int i = 0; i < kAcceptAtOnce; ++i) {
-    // Guards against a loop that spins on connections it has no descriptor for: they wait in the system meanwhile.
+    // Guards against a loop that spins on connections it has no descriptor for: they wait in the system
+    // meanwhile.
     if (!loop_.room(true)) return accept_on(false);
-    const int descriptor = ::accept4(listener_.impl()->sockfd(), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+    const int descriptor =
+        ::accept4(listener_.impl()->sockfd(), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
     if (descriptor < 0) {
       if (errno == EMFILE || errno == ENFILE || errno == ENOBUFS || errno == ENOMEM) accept_on(false);
       return;
--- a/src/net/engines.cpp
+++ b/src/net/engines.cpp
@@ -33,11 +33,12 @@
     proto::HttpAnswer answer;
     const proto::Read read = reader.next(inbox_, answer);
     if (read == proto::Read::kMore && task != Task::kIdle) return;
-    // Guards against bytes beyond an answer's end, which would be read as that to the next call: the connection goes.
-    // A second copy spoils no more; before anything else behind it a length may have been cut, and the engine is
-    // asked for the answer again.
+    // Guards against bytes beyond an answer's end, which would be read as that to the next call: the
+    // connection goes. A second copy spoils no more; before anything else behind it a length may have been
+    // cut, and the engine is asked for the answer again.
     const std::string_view behind = inbox_.text();
-    const bool cut = !behind.empty() && !behind.starts_with(std::string_view("HTTP/1.").substr(0, behind.size()));
+    const bool cut =
+        !behind.empty() && !behind.starts_with(std::string_view("HTTP/1.").substr(0, behind.size()));
     if (read != proto::Read::kWhole || task == Task::kIdle || (cut && answer.status == 200)) {
       owner_.counters_.add(task == Task::kIdle ? "engine answers unasked for" : "engine answers unreadable");
       answer = {};  // status 0
@@ -52,7 +53,8 @@
   Engines& owner_;
 };
 
-Engines::Engines(Loop& loop, Counters& counters, Times times) : loop_(loop), counters_(counters), times_(times) {}
+Engines::Engines(Loop& loop, Counters& counters, Times times)
+    : loop_(loop), counters_(counters), times_(times) {}
 Engines::~Engines() = default;
 
 // An engine that has gone keeps its address for what still runs there, until that is another's.
@@ -70,7 +72,8 @@
 
 void Engines::forget(uint32_t engine) {
   const auto at = pools_.find(engine);
-  if (at != pools_.end() && at->second.gone && at->second.sends == 0 && at->second.links.empty()) pools_.erase(at);
+  if (at != pools_.end() && at->second.gone && at->second.sends == 0 && at->second.links.empty())
+    pools_.erase(at);
 }
 
 Engines::Connection* Engines::link_to(uint32_t engine, Ms now) {
@@ -102,8 +105,8 @@
   }
 }
 
-// Guards against a send that comes to its engine after its final answer: bytes for a machine that is cut off wait in
-// the system and would go out when it is back, even from a closed connection.
+// Guards against a send that comes to its engine after its final answer: bytes for a machine that is cut off
+// wait in the system and would go out when it is back, even from a closed connection.
 void Engines::drop(Connection& link) {
   link.task == Task::kIdle ? link.close() : link.abort();
   const auto pool = pools_.find(link.engine);
@@ -138,7 +141,8 @@
   Connection* const link = link_to(order.engine, now);
   // For want of a descriptor nothing has begun, and the engine is not to blame.
   if (!link)
-    return end(order.send, pools_.at(order.engine).address.empty() ? Outcome::kConnectFailed : Outcome::kMoot);
+    return end(order.send,
+               pools_.at(order.engine).address.empty() ? Outcome::kConnectFailed : Outcome::kMoot);
   give(*link, order.send, send, now);
 }
 
@@ -181,10 +185,11 @@
   look_at_ = sooner(look_at_, send.ask_at);
 }
 
-// Guards against answers that come spoilt, late or never while the query runs on: it belongs to no connection, and its
-// news and pages can be had on another. The first time at once, then as often as news is due. Where an engine has gone
-// silent that costs a connection each time, until the module or the client gives the send up; where all its answers
-// stay spoilt for as long as an unasked query lives, it is given up here.
+// Guards against answers that come spoilt, late or never while the query runs on: it belongs to no
+// connection, and its news and pages can be had on another. The first time at once, then as often as news is
+// due. Where an engine has gone silent that costs a connection each time, until the module or the client
+// gives the send up; where all its answers stay spoilt for as long as an unasked query lives, it is given up
+// here.
 void Engines::ask_again(uint64_t id, Ms now) {
   Send& send = sends_.at(id);
   send.on = nullptr;
@@ -213,7 +218,8 @@
     }
     send.on = nullptr;
     if (step.next == proto::Query::Next::kEnded) {
-      // After a call of which nobody knows whether it came, an engine that knows nothing of the query is not at fault.
+      // After a call of which nobody knows whether it came, an engine that knows nothing of the query is not
+      // at fault.
       const bool blameless = step.outcome == Outcome::kFailed && send.spoilt_since > 0;
       end(id, blameless ? Outcome::kSpoilt : step.outcome, send.query.take_rows());
     } else if (step.next == proto::Query::Next::kAsk) {
@@ -232,9 +238,10 @@
   keeps ? rest(link, now) : drop(link);
 }
 
-// A connection has ended, or its call has had no answer in its time. What that proves: one that never came up, or took
-// only part of the start, has begun nothing. Else the query may run on; only a process that refuses to be asked is
-// known to have died, and the query with it; a connection that is reset when new says nothing.
+// A connection has ended, or its call has had no answer in its time. What that proves: one that never came
+// up, or took only part of the start, has begun nothing. Else the query may run on; only a process that
+// refuses to be asked is known to have died, and the query with it; a connection that is reset when new says
+// nothing.
 void Engines::lost(Connection& link, Loss loss) {
   const Ms now = loop_.now();
   const uint64_t id = link.send;
@@ -273,8 +280,8 @@
   give_up(id, as, now);
 }
 
-// The engine is told, and the send ends with its word, or at the latest when nobody has asked for the query for as
-// long as one lives unasked: it may run on until then.
+// The engine is told, and the send ends with its word, or at the latest when nobody has asked for the query
+// for as long as one lives unasked: it may run on until then.
 void Engines::give_up(uint64_t id, Outcome as, Ms now) {
   Send& send = sends_.at(id);
   send.given_up = true;
@@ -291,7 +298,8 @@
   at->second.order.priority = priority;
   if (!at->second.begun) return;  // its start tells it
   std::string call;
-  proto::append_priority(call, at->second.order.command, pools_.at(at->second.order.engine).address, priority);
+  proto::append_priority(call, at->second.order.command, pools_.at(at->second.order.engine).address,
+                         priority);
   errand(at->second.order.engine, id, std::move(call), false, now);
 }
 
--- a/src/net/engines.h
+++ b/src/net/engines.h
@@ -25,7 +25,7 @@
   void rank(Ms now, uint64_t send, int priority) override;
   void list(Ms now, uint32_t engine, std::string_view address, Life life) override;
 
-  void due(Ms now);        // ends what has run out of time, and tells the core of what has ended
+  void due(Ms now);  // ends what has run out of time, and tells the core of what has ended
   Ms next_due() const { return endings_.empty() ? look_at_ : 1; }  // 0: nothing is due; 1: at once
 
  private:
@@ -39,9 +39,9 @@
     bool told = false;         // all of it: it may have run
     bool given_up = false;
     Outcome as = Outcome::kCancelled;
-    Ms asked_at = 0;                 // the last call for it that may have come to its engine
+    Ms asked_at = 0;                  // the last call for it that may have come to its engine
     Ms spoilt_since = 0, ask_at = 0;  // 0: not so; when to ask again, 0: not by itself
-    Ms ends_at = 0;                  // 0: not by itself
+    Ms ends_at = 0;                   // 0: not by itself
   };
   struct Pool {
     std::string address;  // empty: it belongs to another engine by now
--- a/src/net/link.cpp
+++ b/src/net/link.cpp
@@ -14,7 +14,8 @@
 constexpr size_t kReadAtOnce = 16 * 1024;  // bytes: several messages, little for a thousand connections
 }
 
-Link::Link(Loop& loop, const StreamSocket& up, Kind kind) : loop_(loop), socket_(up), client_(kind == Kind::kClient), place_(loop.enter(*this)), up_(true) {
+Link::Link(Loop& loop, const StreamSocket& up, Kind kind)
+    : loop_(loop), socket_(up), client_(kind == Kind::kClient), place_(loop.enter(*this)), up_(true) {
   socket_.setBlocking(false);
   if (kind != Kind::kLocal) socket_.setNoDelay(true);
   loop_.addEventHandler(socket_, Poco::NObserver<Link, ErrorNotification>(*this, &Link::on_error));
@@ -43,9 +44,11 @@
   loop_.leave(place_);
   if (!refused_) {
     if (reading_)
-      loop_.removeEventHandler(socket_, Poco::NObserver<Link, ReadableNotification>(*this, &Link::on_readable));
+      loop_.removeEventHandler(socket_,
+                               Poco::NObserver<Link, ReadableNotification>(*this, &Link::on_readable));
     if (writing_)
-      loop_.removeEventHandler(socket_, Poco::NObserver<Link, WritableNotification>(*this, &Link::on_writable));
+      loop_.removeEventHandler(socket_,
+                               Poco::NObserver<Link, WritableNotification>(*this, &Link::on_writable));
     loop_.removeEventHandler(socket_, Poco::NObserver<Link, ErrorNotification>(*this, &Link::on_error));
   }
   socket_.close();
@@ -75,11 +78,12 @@
 void Link::want(bool read, bool write) {
   const Poco::NObserver<Link, ReadableNotification> reader(*this, &Link::on_readable);
   const Poco::NObserver<Link, WritableNotification> writer(*this, &Link::on_writable);
-  if (read != reading_) read ? loop_.addEventHandler(socket_, reader) : loop_.removeEventHandler(socket_, reader);
+  if (read != reading_)
+    read ? loop_.addEventHandler(socket_, reader) : loop_.removeEventHandler(socket_, reader);
   if (write != writing_)
     write ? loop_.addEventHandler(socket_, writer) : loop_.removeEventHandler(socket_, writer);
-  // Guards against a whole core spent on sockets that are always writable: the reactor (POCO 1.11) goes on asking
-  // for what a removed handler wanted until a handler, even one it has, is added.
+  // Guards against a whole core spent on sockets that are always writable: the reactor (POCO 1.11) goes on
+  // asking for what a removed handler wanted until a handler, even one it has, is added.
   if ((reading_ && !read) || (writing_ && !write))
     loop_.addEventHandler(socket_, Poco::NObserver<Link, ErrorNotification>(*this, &Link::on_error));
   reading_ = read;
@@ -152,7 +156,8 @@
 
 void Link::flush() {
   while (open_ && out_sent_ < out_.size()) {
-    const ssize_t sent = ::send(socket_.impl()->sockfd(), out_.data() + out_sent_, out_.size() - out_sent_, MSG_NOSIGNAL);
+    const ssize_t sent =
+        ::send(socket_.impl()->sockfd(), out_.data() + out_sent_, out_.size() - out_sent_, MSG_NOSIGNAL);
     if (sent >= 0) {
       loop_.touch(place_);
       out_sent_ += static_cast<size_t>(sent);
--- a/src/net/link.h
+++ b/src/net/link.h
@@ -18,7 +18,7 @@
   enum class Kind { kTcp, kClient, kLocal };
 
   Link(Loop& loop, const Poco::Net::StreamSocket& up, Kind kind = Kind::kTcp);  // accepted
-  Link(Loop& loop, const Poco::Net::SocketAddress& address);  // to be connected
+  Link(Loop& loop, const Poco::Net::SocketAddress& address);                    // to be connected
   virtual ~Link();
   Link(const Link&) = delete;
   Link& operator=(const Link&) = delete;
@@ -33,15 +33,15 @@
   bool up() const { return up_; }
   bool open() const { return open_; }
   void read_on(bool on);
-  void close();  // without a word to the subclass
+  void close();        // without a word to the subclass
   bool quiet() const;  // nothing has come that was not read, not even its end
-  void abort();  // the same, and what the peer has not taken yet never reaches it
+  void abort();        // the same, and what the peer has not taken yet never reaches it
 
  protected:
   virtual void on_up() {}
-  virtual void on_bytes() = 0;         // inbox holds more than before
-  virtual void on_written() {}         // what had to wait has gone out
-  virtual void on_end(End end) = 0;    // once; the link is closed by then, save after kClosed with half_open()
+  virtual void on_bytes() = 0;       // inbox holds more than before
+  virtual void on_written() {}       // what had to wait has gone out
+  virtual void on_end(End end) = 0;  // once; the link is closed by then, save after kClosed with half_open()
   virtual bool half_open() { return false; }  // after the peer's end: keep the connection to write on
 
   Loop& loop_;
--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -39,8 +39,8 @@
   return nullptr;
 }
 
-// Guards against peers that connect and stay, or connect by hundreds: without a descriptor nobody is served. It may
-// cost a peer that would have spoken again a new connection.
+// Guards against peers that connect and stay, or connect by hundreds: without a descriptor nobody is served.
+// It may cost a peer that would have spoken again a new connection.
 bool Loop::room(bool for_client) {
   const auto most = static_cast<size_t>(most_descriptors_);
   if (links_.size() < most) return true;
@@ -50,8 +50,8 @@
   return links_.size() < most;
 }
 
-// Guards the memory limit against clients that send half a message and wait, or do not read what they asked for: the
-// idlest goes, those without a command in hand first.
+// Guards the memory limit against clients that send half a message and wait, or do not read what they asked
+// for: the idlest goes, those without a command in hand first.
 void Loop::shrink() {
   while (bytes_ > most_bytes_) {
     Link* goes = idlest(true, true, true);
@@ -63,8 +63,8 @@
 
 void Loop::bury(std::unique_ptr<Link> link) { buried_.push_back(std::move(link)); }
 
-// The reactor calls this before it hands out a turn's events. The turn before is ended here, when its events were
-// followed by others at once, so that decisions never wait for a quiet moment.
+// The reactor calls this before it hands out a turn's events. The turn before is ended here, when its events
+// were followed by others at once, so that decisions never wait for a quiet moment.
 void Loop::onBusy() {
   if (turn_open_) end_turn();
   setTimeout(Poco::Timespan(0));
--- a/src/net/loop.h
+++ b/src/net/loop.h
@@ -1,5 +1,5 @@
-// The reactor's turns: sockets are heard first, then what is due, then the decisions, once. And the two accounts that
-// all links share: of descriptors and of buffered bytes.
+// The reactor's turns: sockets are heard first, then what is due, then the decisions, once. And the two
+// accounts that all links share: of descriptors and of buffered bytes.
 #pragma once
 
 #include <Poco/Net/SocketReactor.h>
@@ -25,8 +25,8 @@
 
   // The most that all links together may hold: descriptors, and bytes in their buffers.
   void limit(int descriptors, size_t bytes);
-  // Whether there is a descriptor for one more link. Where none is left, the idlest link that nothing depends on goes;
-  // a new client takes no engine's place once clients hold their third.
+  // Whether there is a descriptor for one more link. Where none is left, the idlest link that nothing depends
+  // on goes; a new client takes no engine's place once clients hold their third.
   bool room(bool for_client);
   size_t most_buffered() const { return most_bytes_; }
 
--- a/src/proto/bus.h
+++ b/src/proto/bus.h
@@ -13,7 +13,7 @@
 
 namespace firvalve::proto {
 
-constexpr Ms kBusSilence = 2200;               // without a line: two of its seconds missed, the bus is lost
+constexpr Ms kBusSilence = 2200;              // without a line: two of its seconds missed, the bus is lost
 constexpr size_t kBusLineMost = 1024 * 1024;  // bytes of a line: a list of thousands of engines
 
 struct BusListing {
--- a/src/proto/http.h
+++ b/src/proto/http.h
@@ -8,8 +8,8 @@
 
 namespace firvalve::proto {
 
-constexpr size_t kHttpHeadMost = 8 * 1024;   // bytes of an answer's head
-constexpr size_t kHttpBodyMost = 6000;       // bytes of an answer's body: the largest page
+constexpr size_t kHttpHeadMost = 8 * 1024;  // bytes of an answer's head
+constexpr size_t kHttpBodyMost = 6000;      // bytes of an answer's body: the largest page
 
 struct HttpAnswer {
   int status = 0;
--- a/src/proto/inbox.h
+++ b/src/proto/inbox.h
@@ -10,8 +10,8 @@
 
 class Inbox {
  public:
-  // Space for the next read, at least so many bytes. One byte more is kept behind it, for parsers that want an
-  // end mark there.
+  // Space for the next read, at least so many bytes. One byte more is kept behind it, for parsers that want
+  // an end mark there.
   std::span<char> room(size_t least) {
     if (first_ > 0 && (first_ == last_ || bytes_.size() < last_ + least + 1)) {
       if (last_ > first_) std::memmove(bytes_.data(), bytes_.data() + first_, last_ - first_);
--- a/src/proto/query.cpp
+++ b/src/proto/query.cpp
@@ -38,7 +38,10 @@
     } else if (c < ' ' || c == 127) {
       return false;
     } else if (c >= 128) {  // UTF-8: a lead byte and those that follow it
-      const size_t more = c >= 0xf0 && c < 0xf5 ? 3 : c >= 0xe0 && c < 0xf0 ? 2 : c >= 0xc2 && c < 0xe0 ? 1 : 0;
+      const size_t more = c >= 0xf0 && c < 0xf5   ? 3
+                          : c >= 0xe0 && c < 0xf0 ? 2
+                          : c >= 0xc2 && c < 0xe0 ? 1
+                                                  : 0;
       if (more == 0 || i + more >= body.size()) return false;
       for (size_t k = 0; k < more; ++k)
         if ((static_cast<unsigned char>(body[++i]) & 0xc0) != 0x80) return false;
@@ -51,8 +54,8 @@
 
 void append_start(std::string& out, const QueryCall& c) {
   const auto to = std::back_inserter(out);
-  fmt::format_to(to, "POST {} HTTP/1.1\r\nHost: {}\r\nCall-Id: {}\r\nCall-Kind: {}\r\nCall-Ms: {:.0f}\r\n", kPath,
-                 c.host, c.id, c.profile, std::max(1.0, std::ceil(c.wait)));
+  fmt::format_to(to, "POST {} HTTP/1.1\r\nHost: {}\r\nCall-Id: {}\r\nCall-Kind: {}\r\nCall-Ms: {:.0f}\r\n",
+                 kPath, c.host, c.id, c.profile, std::max(1.0, std::ceil(c.wait)));
   if (c.priority >= 0) fmt::format_to(to, "X-Urgency: {}\r\n", c.priority);
   fmt::format_to(to, "Content-Length: {}\r\n\r\n", c.statement.size());
   out += c.statement;
@@ -60,17 +63,18 @@
 
 void append_priority(std::string& out, std::string_view id, std::string_view host, int priority) {
   const std::string body = std::to_string(priority);
-  fmt::format_to(std::back_inserter(out), "PUT {}/{} HTTP/1.1\r\nHost: {}\r\nContent-Length: {}\r\n\r\n{}", kPath,
-                 id, host, body.size(), body);
+  fmt::format_to(std::back_inserter(out), "PUT {}/{} HTTP/1.1\r\nHost: {}\r\nContent-Length: {}\r\n\r\n{}",
+                 kPath, id, host, body.size(), body);
 }
 
 void append_give_up(std::string& out, std::string_view id, std::string_view host) {
-  fmt::format_to(std::back_inserter(out), "DELETE {}/{} HTTP/1.1\r\nHost: {}\r\nContent-Length: 0\r\n\r\n", kPath,
-                 id, host);
+  fmt::format_to(std::back_inserter(out), "DELETE {}/{} HTTP/1.1\r\nHost: {}\r\nContent-Length: 0\r\n\r\n",
+                 kPath, id, host);
 }
 
 void Query::append_ask(std::string& out, std::string_view id, std::string_view host) const {
-  fmt::format_to(std::back_inserter(out), "GET {}/{}/{} HTTP/1.1\r\nHost: {}\r\n\r\n", kPath, id, page_, host);
+  fmt::format_to(std::back_inserter(out), "GET {}/{}/{} HTTP/1.1\r\nHost: {}\r\n\r\n", kPath, id, page_,
+                 host);
 }
 
 Query::Step Query::hear(const HttpAnswer& answer) {
@@ -87,8 +91,9 @@
   if (answer.status == 503 && answer.not_begun && page_ == 0) return ended(Outcome::kFull);
   if (answer.status == 504 && answer.not_begun && page_ == 0) return ended(Outcome::kMoot);
   if (answer.status == 500) return ended(Outcome::kFailed);
-  // Guards against passing on what noise, cuts and wrong lengths have made of a good answer; the query has run, and
-  // its engine gives the same again. Where the engine itself makes such pages, that costs the time it is asked.
+  // Guards against passing on what noise, cuts and wrong lengths have made of a good answer; the query has
+  // run, and its engine gives the same again. Where the engine itself makes such pages, that costs the time
+  // it is asked.
   step.next = Next::kSpoilt;
   const int64_t told = page_ == 0 ? answer.pages : answer.page;
   if (answer.status != 200 || (page_ == 0 ? told < 1 : told != page_)) return step;
--- a/src/proto/query.h
+++ b/src/proto/query.h
@@ -8,10 +8,10 @@
 
 namespace firvalve::proto {
 
-constexpr Ms kUnaskedMost = 2000;        // a query that is not asked for so long has ended on its engine
-constexpr Ms kNewsWait = 250;            // the news of a query comes within it, if only to say that there is none
-constexpr size_t kRowsMost = 48000;      // bytes of a result
-constexpr int kColumns = 3;              // of text, in each row of a result
+constexpr Ms kUnaskedMost = 2000;    // a query that is not asked for so long has ended on its engine
+constexpr Ms kNewsWait = 250;        // the news of a query comes within it, if only to say that there is none
+constexpr size_t kRowsMost = 48000;  // bytes of a result
+constexpr int kColumns = 3;          // of text, in each row of a result
 
 struct QueryCall {
   std::string_view id, profile, statement, host;
--- a/src/proto/rpc.cpp
+++ b/src/proto/rpc.cpp
@@ -1,6 +1,7 @@
 #include "proto/rpc.h"
 
 #include <fmt/format.h>
+
 #include <iterator>
 
 #include "proto/base64.h"
@@ -142,8 +143,8 @@
 void append_shed(std::string& out, int64_t id, double stay_away_ms) {
   std::string data;
   if (stay_away_ms > 0) data = fmt::format(R"(,"data":{{"holdoff":{:.0f}}})", stay_away_ms);
-  append_message(out, fmt::format(R"({{"jsonrpc":"2.0","id":{},"error":{{"code":{},"message":"shed"{}}}}})", id,
-                                  kRpcShed, data));
+  append_message(out, fmt::format(R"({{"jsonrpc":"2.0","id":{},"error":{{"code":{},"message":"shed"{}}}}})",
+                                  id, kRpcShed, data));
 }
 
 }  // namespace firvalve::proto
--- a/src/proto/rpc.h
+++ b/src/proto/rpc.h
@@ -9,11 +9,11 @@
 
 namespace firvalve::proto {
 
-constexpr size_t kRpcHeadMost = 1024;         // bytes of a head
-constexpr size_t kRpcBodyMost = 128 * 1024;   // bytes of a message: a statement, well past any sent by hand
-constexpr Ms kRpcPartMost = 2000;             // for a message to come whole: such clients are owed an end within 3 s
-constexpr Ms kRpcIdleMost = 4500;             // without a call open: clients themselves close after 4 s
-constexpr size_t kRpcOpenMost = 32;           // open requests a connection, by the protocol
+constexpr size_t kRpcHeadMost = 1024;        // bytes of a head
+constexpr size_t kRpcBodyMost = 128 * 1024;  // bytes of a message: a statement, well past any sent by hand
+constexpr Ms kRpcPartMost = 2000;    // for a message to come whole: such clients are owed an end within 3 s
+constexpr Ms kRpcIdleMost = 4500;    // without a call open: clients themselves close after 4 s
+constexpr size_t kRpcOpenMost = 32;  // open requests a connection, by the protocol
 
 // Finds the next message in what is held. Broken framing is final.
 class RpcFrames {
@@ -31,7 +31,7 @@
   Kind kind = Kind::kInvalid;
   bool has_id = false;
   int64_t id = 0;
-  int code = 0;           // of the error that an invalid one gets
+  int code = 0;  // of the error that an invalid one gets
   const char* why = "";
   std::string_view profile, command;  // slices of the body
   int64_t revoked = 0;                // the id of the request given up, 0: told by the command alone
--- a/src/proto/statement.h
+++ b/src/proto/statement.h
@@ -6,8 +6,8 @@
 
 namespace firvalve::proto {
 
-// The number behind the underscore in the name of the schema (17 in `sales_17.orders`), past strings, comments
-// and the schema `staging`. -1: there is none.
+// The number behind the underscore in the name of the schema (17 in `sales_17.orders`), past strings,
+// comments and the schema `staging`. -1: there is none.
 int64_t table_group(std::string_view statement);
 
 }  // namespace firvalve::proto
--- a/src/rules.h
+++ b/src/rules.h
@@ -263,7 +263,7 @@
 std::string word(const Articles& a, const std::string& name);
 std::vector<std::string> words(const Articles& a, const std::string& name);  // a list numbered from 0
 Profile profile_from(const Articles& a, int number);
-Engine& engine_of(State& s, uint32_t id);            // a new one takes its place by id
+Engine& engine_of(State& s, uint32_t id);  // a new one takes its place by id
 void forget_gone(State& s);  // once they are more than the others: those that no command in hand refers to
 Command* command_of(State& s, const CommandId& id);  // null: not in hand
 Command& new_place(State& s);                        // in the slab, the last of those in hand
--- a/tests/core_test.cpp
+++ b/tests/core_test.cpp
@@ -24,10 +24,14 @@
 };
 
 struct CoreTest : testing::Test {
-  const Articles articles{{"profile.0.name", std::string("quick")}, {"profile.0.effect", std::string("replayable")},
-                          {"sends at most", 3.0},                   {"may cancel", 1.0},
-                          {"cores.std", 8.0},                       {"tick", 5.0},
-                          {"memory.std", 1000.0},                   {"profile.0.client timeout", 4000.0}};
+  const Articles articles{{"profile.0.name", std::string("quick")},
+                          {"profile.0.effect", std::string("replayable")},
+                          {"sends at most", 3.0},
+                          {"may cancel", 1.0},
+                          {"cores.std", 8.0},
+                          {"tick", 5.0},
+                          {"memory.std", 1000.0},
+                          {"profile.0.client timeout", 4000.0}};
   Heard heard;
   Counters counters;
   Core core{articles, 1, heard, heard, counters, [](const std::string&) {}};
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -83,7 +83,8 @@
 }
 
 std::string http(const std::string& status, const std::string& fields, const std::string& body) {
-  return "HTTP/1.1 " + status + "\r\n" + fields + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+  return "HTTP/1.1 " + status + "\r\n" + fields + "Content-Length: " + std::to_string(body.size()) +
+         "\r\n\r\n" + body;
 }
 
 // Answers by the statement's first word; a later call for a query by the word of its start.
@@ -107,13 +108,15 @@
         const std::lock_guard lock(mutex_);
         calls_.push_back(call.substr(0, call.find("\r\n")));
         const size_t field = call.find("Call-Id: "), path = call.find("/v1/store/");
-        const std::string id = field != std::string::npos ? call.substr(field + 9, 16) : call.substr(path + 10, 16);
+        const std::string id =
+            field != std::string::npos ? call.substr(field + 9, 16) : call.substr(path + 10, 16);
         if (call.starts_with("POST")) words_[id] = call.substr(call.find("\r\n\r\n") + 4, 4);
         word = words_[id];
       }
       std::string answer = http("500 Error", "", "");
       if (call.starts_with("DELETE")) answer = "HTTP/1.1 204 No Content\r\n\r\n";
-      if (call.starts_with("POST") && word == "late") answer = http("202 Accepted", "Detail: share\r\nX-Val: 0.5\r\n", "");
+      if (call.starts_with("POST") && word == "late")
+        answer = http("202 Accepted", "Detail: share\r\nX-Val: 0.5\r\n", "");
       else if (word == "good" || word == "late")
         answer = call.find("/1 HTTP") != std::string::npos ? http("200 OK", "X-Sheet: 1\r\n", "c\td\te\n")
                                                            : http("200 OK", "X-Sheets: 2\r\n", "a\tb\tc\n");
@@ -139,13 +142,13 @@
 };
 
 std::string listing(const std::string& name, const std::string& address, const std::string& state) {
-  return R"({"id":")" + name + R"(","addr":")" + address + R"(","zone":"z","kind":"std","cell":0,"state":")" + state +
-         R"(","weight":1,"started_ms":0})";
+  return R"({"id":")" + name + R"(","addr":")" + address + R"(","zone":"z","kind":"std","cell":0,"state":")" +
+         state + R"(","weight":1,"started_ms":0})";
 }
 
 std::string topology(int offset, bool full, const std::string& listings) {
-  return R"({"offset":)" + std::to_string(offset) + R"(,"topology":{"version":1,"full":)" + (full ? "true" : "false") +
-         R"(,"servers":[)" + listings + "]}}";
+  return R"({"offset":)" + std::to_string(offset) + R"(,"topology":{"version":1,"full":)" +
+         (full ? "true" : "false") + R"(,"servers":[)" + listings + "]}}";
 }
 
 class Gateway : public testing::Test {
@@ -155,13 +158,15 @@
     free.bind(SocketAddress("127.0.0.1", 0), true);
     address_ = free.address().toString();
     free.close();
-    start(R"({"name":"n1","listen":")" + address_ +
-          R"(","seed":"8c1f30d27a5be964","limits":{"cores":1.0,"memory_mb":192,"sockets":1024},"bus":")" + bus_.address() +
-          R"(","known":{"offset":1,"batch":[)" + topology(1, true, listing("s-0000000a", engine_.address(), "SERVING")) +
-          R"(]},"settings":{"peers_total":1,"shapes":["std"],"specifics":{"cores_by_kind":[8],"memory_by_kind_mb":[1000],"class_threads":[1,1]},)"
-          R"("ceilings":{"cancel":true,"try_limit":1,"dial_timeout":250000000,"conn_idle":15000000000},"profiles":[)"
-          R"({"name":"quick","semantics":"idempotent","slo":800000000,"credit":1.0,"deadline":4000000000},)"
-          R"({"name":"once","semantics":"at_most_once","slo":800000000,"credit":1.0,"deadline":4000000000}]}})");
+    start(
+        R"({"name":"n1","listen":")" + address_ +
+        R"(","seed":"8c1f30d27a5be964","limits":{"cores":1.0,"memory_mb":192,"sockets":1024},"bus":")" +
+        bus_.address() + R"(","known":{"offset":1,"batch":[)" +
+        topology(1, true, listing("s-0000000a", engine_.address(), "SERVING")) +
+        R"(]},"settings":{"peers_total":1,"shapes":["std"],"specifics":{"cores_by_kind":[8],"memory_by_kind_mb":[1000],"class_threads":[1,1]},)"
+        R"("ceilings":{"cancel":true,"try_limit":1,"dial_timeout":250000000,"conn_idle":15000000000},"profiles":[)"
+        R"({"name":"quick","semantics":"idempotent","slo":800000000,"credit":1.0,"deadline":4000000000},)"
+        R"({"name":"once","semantics":"at_most_once","slo":800000000,"credit":1.0,"deadline":4000000000}]}})");
   }
   void TearDown() override {
     if (process_ > 0) ::kill(process_, SIGKILL), ::waitpid(process_, nullptr, 0);
@@ -203,13 +208,15 @@
     const std::string message = "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
     client.sendBytes(message.data(), static_cast<int>(message.size()));
   }
-  static std::string command(int id, const std::string& statement, int timeout = 4000, const char* profile = "quick") {
+  static std::string command(int id, const std::string& statement, int timeout = 4000,
+                             const char* profile = "quick") {
     std::string bytes;
     proto::append_base64(bytes, statement);
     char req[17];
     std::snprintf(req, sizeof req, "%016x", id);
-    return R"({"jsonrpc":"2.0","id":)" + std::to_string(id) + R"(,"method":")" + profile + R"(","params":{"req":")" + req +
-           R"(","timeout":)" + std::to_string(timeout) + R"(,"ms":100,"mem":10,"bytes":")" + bytes + R"("}})";
+    return R"({"jsonrpc":"2.0","id":)" + std::to_string(id) + R"(,"method":")" + profile +
+           R"(","params":{"req":")" + req + R"(","timeout":)" + std::to_string(timeout) +
+           R"(,"ms":100,"mem":10,"bytes":")" + bytes + R"("}})";
   }
   std::string ask(const std::string& body) {
     StreamSocket client = connect();
@@ -217,7 +224,9 @@
     std::string held;
     return read_message(client, held);
   }
-  static bool has(const std::string& text, const std::string& part) { return text.find(part) != std::string::npos; }
+  static bool has(const std::string& text, const std::string& part) {
+    return text.find(part) != std::string::npos;
+  }
 
   Engine engine_;
   StandIn bus_{[this](StreamSocket& peer) {
@@ -226,7 +235,8 @@
     const std::string said(bytes, static_cast<size_t>(std::max(got, 0)));
     const int time = ++bus_calls_;
     // The first connection ends with a line that cannot be read; the next tells of a gone engine.
-    const std::string line = time == 1 ? "junk\n" : topology(2, false, listing("s-0000000b", "127.0.0.1:1", "DELETED")) + "\n";
+    const std::string line =
+        time == 1 ? "junk\n" : topology(2, false, listing("s-0000000b", "127.0.0.1:1", "DELETED")) + "\n";
     if (said != "from 1\n") return;
     peer.sendBytes(line.data(), static_cast<int>(line.size()));
     while (!bus_.ending && !peer.poll(Poco::Timespan(0, 20000), Poco::Net::Socket::SELECT_READ)) {
--- a/tests/proto_test.cpp
+++ b/tests/proto_test.cpp
@@ -47,10 +47,10 @@
 
 TEST(RpcFrames, BrokenFramingIsFinal) {
   for (const std::string& bytes :
-       {std::string("Content-Length: x\r\n\r\n"), std::string("Length: 3\r\n\r\nabc"), std::string("\r\n\r\n"),
-        std::string("Content-Length: 999999999\r\n\r\n"), std::string("Content-Length: -1\r\n\r\n"),
-        std::string("no colon\r\n\r\n"), std::string(kRpcHeadMost, 'a'),
-        std::string("Content-Length: 2\r\nContent-Length: 3\r\n\r\n{}")}) {
+       {std::string("Content-Length: x\r\n\r\n"), std::string("Length: 3\r\n\r\nabc"),
+        std::string("\r\n\r\n"), std::string("Content-Length: 999999999\r\n\r\n"),
+        std::string("Content-Length: -1\r\n\r\n"), std::string("no colon\r\n\r\n"),
+        std::string(kRpcHeadMost, 'a'), std::string("Content-Length: 2\r\nContent-Length: 3\r\n\r\n{}")}) {
     RpcFrames frames;
     Inbox in;
     std::span<char> body;
@@ -70,12 +70,14 @@
 }
 
 TEST(RpcCalls, WrongFieldsGetOneErrorThatIsNoShed) {
-  for (const char* body : {"{", "[]", R"({"jsonrpc":"2.0","id":1})", R"({"jsonrpc":"2.0","id":1,"method":"report"})",
-                           R"({"jsonrpc":"2.0","id":"a","method":"report","params":{}})",
-                           R"({"jsonrpc":"2.0","id":1,"method":"report","params":{"req":"zz","timeout":1}})",
-                           R"({"jsonrpc":"2.0","id":1,"method":"report","params":{"req":"9b1f03aa5c7e2d41","timeout":"1"}})",
-                           R"({"jsonrpc":"2.0","id":1,"method":"report","params":{"req":"9b1f03aa5c7e2d41","timeout":1,"bytes":"c"}})",
-                           R"({"jsonrpc":"2.0","id":1,"method":"report","params":{"req":"9b1f03aa5c7e2d41","timeout":-1,"bytes":""}})"}) {
+  for (
+      const char* body :
+      {"{", "[]", R"({"jsonrpc":"2.0","id":1})", R"({"jsonrpc":"2.0","id":1,"method":"report"})",
+       R"({"jsonrpc":"2.0","id":"a","method":"report","params":{}})",
+       R"({"jsonrpc":"2.0","id":1,"method":"report","params":{"req":"zz","timeout":1}})",
+       R"({"jsonrpc":"2.0","id":1,"method":"report","params":{"req":"9b1f03aa5c7e2d41","timeout":"1"}})",
+       R"({"jsonrpc":"2.0","id":1,"method":"report","params":{"req":"9b1f03aa5c7e2d41","timeout":1,"bytes":"c"}})",
+       R"({"jsonrpc":"2.0","id":1,"method":"report","params":{"req":"9b1f03aa5c7e2d41","timeout":-1,"bytes":""}})"}) {
     const RpcCall call = read(body);
     EXPECT_EQ(call.kind, RpcCall::Kind::kInvalid) << body;
     EXPECT_NE(call.code, kRpcShed) << body;
@@ -83,7 +85,9 @@
   }
 }
 
-TEST(RpcCalls, DeepNestingIsNoCrash) { EXPECT_EQ(read(std::string(100000, '[')).kind, RpcCall::Kind::kInvalid); }
+TEST(RpcCalls, DeepNestingIsNoCrash) {
+  EXPECT_EQ(read(std::string(100000, '[')).kind, RpcCall::Kind::kInvalid);
+}
 
 TEST(RpcAnswers, AResultStatesItsLength) {
   std::string out;
@@ -101,7 +105,8 @@
     EXPECT_EQ(from_base64(text), bytes);
     bytes += static_cast<char>(i);
   }
-  for (const char* bad : {"a", "ab=a", "a===", "a b=", "\xff\xff\xff\xff"}) EXPECT_FALSE(from_base64(bad)) << bad;
+  for (const char* bad : {"a", "ab=a", "a===", "a b=", "\xff\xff\xff\xff"})
+    EXPECT_FALSE(from_base64(bad)) << bad;
 }
 
 TEST(Http, AByteAtATimeGivesTheWholeAnswer) {
@@ -109,7 +114,8 @@
   Inbox in;
   HttpAnswer answer;
   const std::string bytes = "HTTP/1.1 200 OK\r\nx-sheets: 3\r\nContent-Length: 4\r\n\r\na\tb\n";
-  for (size_t i = 0; i + 1 < bytes.size(); ++i) ASSERT_EQ(feed(reader, in, bytes.substr(i, 1), answer), Read::kMore);
+  for (size_t i = 0; i + 1 < bytes.size(); ++i)
+    ASSERT_EQ(feed(reader, in, bytes.substr(i, 1), answer), Read::kMore);
   ASSERT_EQ(feed(reader, in, bytes.substr(bytes.size() - 1), answer), Read::kWhole);
   EXPECT_EQ(answer.status, 200);
   EXPECT_EQ(answer.pages, 3);
@@ -120,7 +126,8 @@
 TEST(Http, GarbageAndOversizeAreBroken) {
   for (const std::string& bytes :
        {std::string("HTTP/2 200 OK\r\n\r\n"), std::string("HTTP/1.1 abc OK\r\n\r\n"),
-        std::string("HTTP/1.1 200 OK\r\n\r\n"), std::string("HTTP/1.1 200 OK\r\nContent-Length: 70000\r\n\r\n"),
+        std::string("HTTP/1.1 200 OK\r\n\r\n"),
+        std::string("HTTP/1.1 200 OK\r\nContent-Length: 70000\r\n\r\n"),
         std::string("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"), std::string(kHttpHeadMost, 'x'),
         std::string("HTTP/1.1 200 OK\r\nContent-Length: 4\r\nContent-Length: 5\r\n\r\n"),
         std::string("HTTP/1.1 200 OK\r\nContent-Length: -4\r\n\r\n")}) {
@@ -135,8 +142,10 @@
   HttpReader reader;
   Inbox in;
   HttpAnswer answer;
-  ASSERT_EQ(feed(reader, in, "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\nHTTP/1.1 202 Ac", answer),
-            Read::kMore);
+  ASSERT_EQ(
+      feed(reader, in,
+           "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\nHTTP/1.1 202 Ac", answer),
+      Read::kMore);
   ASSERT_EQ(feed(reader, in, "cepted\r\nContent-Length: 0\r\n\r\n", answer), Read::kWhole);
   EXPECT_EQ(answer.status, 202);
 }
@@ -177,8 +186,10 @@
 }
 
 TEST(Queries, WhatIsNoWholeAnswerIsAskedForAgain) {
-  for (const int status : {0, 200, 204, 404, 503, 504}) EXPECT_EQ(Query().hear(told(status)).next, Query::Next::kSpoilt);
-  for (const char* body : {"a\tb\tc", "a\tb\n", "a\tb\tc\td\n", "a\tb\t\x01\n", "a\tb\t\xff\n", "a\tb\t\xc3\n", "\n"}) {
+  for (const int status : {0, 200, 204, 404, 503, 504})
+    EXPECT_EQ(Query().hear(told(status)).next, Query::Next::kSpoilt);
+  for (const char* body :
+       {"a\tb\tc", "a\tb\n", "a\tb\tc\td\n", "a\tb\t\x01\n", "a\tb\t\xff\n", "a\tb\t\xc3\n", "\n"}) {
     Query query;
     HttpAnswer answer = told(200);
     answer.pages = 1;
@@ -218,9 +229,10 @@
 std::optional<BusEvent> line(std::string text) { return read_bus_line({text.data(), text.size()}); }
 
 TEST(BusLines, EventsAndTheLastNumberAlone) {
-  const auto event = line(R"({"offset":41,"topology":{"version":7,"full":false,"servers":[{"id":"s-00c41f7a",)"
-                          R"("addr":"10.1.0.9:6565","zone":"east","kind":"std","cell":2,"state":"DRAINING",)"
-                          R"("weight":4,"started_ms":5}]}})");
+  const auto event =
+      line(R"({"offset":41,"topology":{"version":7,"full":false,"servers":[{"id":"s-00c41f7a",)"
+           R"("addr":"10.1.0.9:6565","zone":"east","kind":"std","cell":2,"state":"DRAINING",)"
+           R"("weight":4,"started_ms":5}]}})");
   ASSERT_TRUE(event);
   EXPECT_EQ(event->offset, 41);
   ASSERT_EQ(event->listings.size(), 1u);
