One place asks again later; a state and an accessor that told nothing are out

Read again: when to ask again was set in two places of src/net/engines.cpp, 'given up' said no more than the time at which a given-up send ends, the clients' 'listening' no more than their being served, and nobody read the bytes' limit back.

--- a/src/net/clients.cpp
+++ b/src/net/clients.cpp
@@ -195,7 +195,6 @@
   listener_.bind(SocketAddress(address), true);
   listener_.listen(1024);
   listener_.setBlocking(false);
-  listening_ = true;
   accept_on(true);
 }
 
@@ -206,7 +205,7 @@
   for (const auto& [key, connection] : connections_) all.push_back(key);
   for (Connection* const connection : all)
     if (connection->open()) connection->look(now);
-  if (listening_ && !accepting_) accept_on(true);
+  accept_on(true);
 }
 
 size_t Clients::unsent() const {
--- a/src/net/clients.h
+++ b/src/net/clients.h
@@ -42,7 +42,7 @@
   Counters& counters_;
   Core* core_ = nullptr;
   Poco::Net::ServerSocket listener_;
-  bool listening_ = false, accepting_ = false;
+  bool accepting_ = false;
   Ms look_at_ = 0;
   std::map<Connection*, std::unique_ptr<Connection>> connections_;
   std::map<CallRef, Open> open_;
--- a/src/net/engines.cpp
+++ b/src/net/engines.cpp
@@ -181,6 +181,10 @@
   Send& send = sends_.at(id);
   send.ask_at = 0;
   if (Connection* const link = link_to(send.order.engine, now)) return give(*link, id, send, now);
+  ask_later(send, now);
+}
+
+void Engines::ask_later(Send& send, Ms now) {
   send.ask_at = now + proto::kNewsWait;
   look_at_ = sooner(look_at_, send.ask_at);
 }
@@ -198,8 +202,7 @@
     send.spoilt_since = now;
     return ask(id, now);
   }
-  send.ask_at = now + proto::kNewsWait;
-  look_at_ = sooner(look_at_, send.ask_at);
+  ask_later(send, now);
 }
 
 void Engines::hear(Connection& link, const proto::HttpAnswer& answer) {
@@ -263,7 +266,7 @@
 
 void Engines::withdraw(Ms now, uint64_t id, Outcome as) {
   const auto at = sends_.find(id);
-  if (at == sends_.end() || (at->second.given_up && as == Outcome::kCancelled)) return;
+  if (at == sends_.end() || (at->second.ends_at > 0 && as == Outcome::kCancelled)) return;
   Send& send = at->second;
   const bool begun = send.begun;
   if (send.on) {
@@ -284,7 +287,6 @@
 // for as long as one lives unasked: it may run on until then.
 void Engines::give_up(uint64_t id, Outcome as, Ms now) {
   Send& send = sends_.at(id);
-  send.given_up = true;
   send.as = as;
   send.ask_at = 0;
   send.ends_at = std::min(now, send.asked_at + proto::kNewsWait) + proto::kUnaskedMost + kWaySlack;
--- a/src/net/engines.h
+++ b/src/net/engines.h
@@ -37,11 +37,10 @@
     Connection* on = nullptr;  // the connection that starts it or asks for its news
     bool begun = false;        // some of its start has been handed to a connection that is up
     bool told = false;         // all of it: it may have run
-    bool given_up = false;
     Outcome as = Outcome::kCancelled;
     Ms asked_at = 0;                  // the last call for it that may have come to its engine
     Ms spoilt_since = 0, ask_at = 0;  // 0: not so; when to ask again, 0: not by itself
-    Ms ends_at = 0;                   // 0: not by itself
+    Ms ends_at = 0;                   // 0: not by itself; set once it is given up
   };
   struct Pool {
     std::string address;  // empty: it belongs to another engine by now
@@ -69,6 +68,7 @@
   void give(Connection& link, uint64_t id, Send& send, Ms now);
   void ask(uint64_t id, Ms now);
   void ask_again(uint64_t id, Ms now);
+  void ask_later(Send& send, Ms now);
   void errand(uint32_t engine, uint64_t send, std::string call, bool ends_send, Ms now);
   void give_up(uint64_t id, Outcome as, Ms now);
   void end(uint64_t send, Outcome outcome, std::string rows = {});
--- a/src/net/loop.h
+++ b/src/net/loop.h
@@ -28,7 +28,6 @@
   // Whether there is a descriptor for one more link. Where none is left, the idlest link that nothing depends
   // on goes; a new client takes no engine's place once clients hold their third.
   bool room(bool for_client);
-  size_t most_buffered() const { return most_bytes_; }
 
   // For links alone: what they hold.
   using Place = std::list<Link*>::iterator;
