Packages have folders of their own; a command line stands before the gateway

Need: the growth begins, and each new direction wants a package whose place and dependencies are told in one spot.

--- a/src/core/articles.h
+++ b/src/core/articles.h
@@ -7,7 +7,7 @@
 #include <string>
 #include <vector>
 
-#include "rules.h"
+#include "policy/rules.h"
 
 namespace firvalve {
 
--- a/src/core/core.h
+++ b/src/core/core.h
@@ -9,7 +9,7 @@
 #include <string_view>
 #include <vector>
 
-#include "rules.h"
+#include "policy/rules.h"
 
 namespace firvalve {
 
--- a/src/drill/wire.h
+++ b/src/drill/wire.h
@@ -8,7 +8,7 @@
 #include <string>
 #include <vector>
 
-#include "rules.h"
+#include "policy/rules.h"
 
 namespace firvalve::drill {
 
--- /dev/null
+++ b/src/gateway/serve.cpp
@@ -0,0 +1,148 @@
+#include "gateway/serve.h"
+
+#include <fmt/format.h>
+#include <signal.h>
+
+#include <cstdlib>
+#include <fstream>
+#include <iostream>
+#include <sstream>
+
+#include "core/articles.h"
+#include "net/bus.h"
+#include "net/clients.h"
+#include "net/engines.h"
+#include "net/signals.h"
+#include "proto/term.h"
+
+namespace firvalve {
+namespace {
+
+constexpr Ms kEndLook = 5;  // between looks whether all is answered, while ending
+constexpr int kDescriptorsKept =
+    16;  // beside those of the links: standard streams, the reactor, the listener, files
+// Parts of the memory limit: of links' buffers, and of the statements in hand. The rest is the program's own.
+constexpr double kBufferPart = 0.4, kStatementPart = 0.2;
+
+void log(const std::string& line) { fmt::print(stderr, "firvalve: {}\n", line); }
+
+struct Unusable : std::runtime_error {
+  using std::runtime_error::runtime_error;
+};
+
+const rapidjson::Value& field(const rapidjson::Value& of, const char* name) {
+  const auto at = of.FindMember(name);
+  if (at == of.MemberEnd()) throw Unusable(fmt::format("configuration: {} is missing", name));
+  return at->value;
+}
+
+std::string text(const rapidjson::Value& of, const char* name) {
+  const rapidjson::Value& v = field(of, name);
+  if (!v.IsString()) throw Unusable(fmt::format("configuration: {} is not a string", name));
+  return v.GetString();
+}
+
+// What NODE_CONFIG's file says, read whole before any of it is used.
+struct Told {
+  std::string listen, bus;
+  uint64_t seed = 0;
+  int sockets = 0;
+  double memory_mb = 0;
+  int64_t last = 0;  // the number of the last event known
+  std::vector<proto::BusEvent> known;
+  Articles articles;
+};
+
+Told read_told() {
+  const char* const path = std::getenv("NODE_CONFIG");
+  if (!path) throw Unusable("NODE_CONFIG is not set");
+  std::ifstream file(path);
+  if (!file) throw Unusable(fmt::format("configuration {} cannot be read", path));
+  std::stringstream all;
+  all << file.rdbuf();
+  const std::string json = all.str();
+  rapidjson::Document config;
+  config.Parse<rapidjson::kParseIterativeFlag>(json.c_str());
+  if (config.HasParseError() || !config.IsObject()) throw Unusable("configuration is not a JSON object");
+  Told told;
+  const rapidjson::Value& settings = field(config, "settings");
+  if (!settings.IsObject()) throw Unusable("configuration: settings is not an object");
+  told.articles = articles_from(settings);
+  told.seed = std::strtoull(text(config, "seed").c_str(), nullptr, 16);
+  told.listen = text(config, "listen");
+  told.bus = text(config, "bus");
+  const rapidjson::Value& limits = field(config, "limits");
+  if (!limits.IsObject() || !field(limits, "sockets").IsInt())
+    throw Unusable("configuration: limits.sockets");
+  if (!field(limits, "memory_mb").IsNumber()) throw Unusable("configuration: limits.memory_mb");
+  told.sockets = field(limits, "sockets").GetInt();
+  told.memory_mb = field(limits, "memory_mb").GetDouble();
+  const rapidjson::Value& known = field(config, "known");
+  if (!known.IsObject()) throw Unusable("configuration: known is not an object");
+  const rapidjson::Value& batch = field(known, "batch");
+  if (!batch.IsArray()) throw Unusable("configuration: known.batch is not a list");
+  for (const rapidjson::Value& one : batch.GetArray()) {
+    auto event = proto::read_bus_event(one);
+    if (!event) throw Unusable("configuration: an event of known.batch cannot be read");
+    told.known.push_back(std::move(*event));
+  }
+  const rapidjson::Value& offset = field(known, "offset");
+  told.last = offset.IsInt64() ? offset.GetInt64() : 0;
+  return told;
+}
+
+}  // namespace
+
+int serve() {
+  Told told = read_told();
+  const Articles& articles = told.articles;
+  const double bytes = told.memory_mb * 1024 * 1024;
+  net::Loop loop;
+  loop.limit(told.sockets - kDescriptorsKept, static_cast<size_t>(kBufferPart * bytes));
+  Counters counters;
+  const Ms connect = number(articles, "connect time-out", 250);
+  net::Clients clients(loop, counters);
+  net::Engines engines(loop, counters, {connect, number(articles, "idle close", 15000)});
+  Core core(articles, told.seed, clients, engines, counters, log);
+  core.limit(static_cast<size_t>(kStatementPart * bytes));
+  engines.serve(core);
+  net::Bus bus(loop, counters, told.bus, connect);
+
+  for (proto::BusEvent& event : told.known) net::tell_roster(core, loop.now(), std::move(event));
+  bus.follow(core, told.last);
+  clients.listen(told.listen, core);
+  Ms ended_at = 0;  // SIGTERM came then
+  net::Signals signals(loop, [&](int number) {
+    if (number == SIGUSR1) return log(counters.text());
+    // The event bus has moved. Everything else that a new file may say holds from the next start.
+    if (number == SIGHUP) {
+      counters.add("configurations read anew");
+      try {
+        bus.move(loop.now(), read_told().bus);
+      } catch (const std::exception& e) {
+        log(fmt::format("{}; the one before stays in force", e.what()));
+      }
+      return;
+    }
+    if (ended_at > 0) return;
+    ended_at = loop.now();
+    core.closing(ended_at, ended_at + proto::answers_end(longest_timeout(articles)));
+    log("ending: everything taken is answered first");
+  });
+  log("serving");
+  loop.on_turn = [&](Ms now) {
+    bus.due(now);
+    engines.due(now);
+    clients.due(now);
+    core.turn(now);
+    if (ended_at > 0 && now >= ended_at + proto::kComingOn && core.unanswered() == 0 && clients.unsent() == 0)
+      loop.stop();
+    if (ended_at > 0) return now + kEndLook;
+    return sooner(sooner(bus.next_due(), clients.next_due()), sooner(engines.next_due(), core.next_due()));
+  };
+  loop.run();
+  log(counters.text());
+  return 0;
+}
+
+}  // namespace firvalve
--- a/src/net/bus.h
+++ b/src/net/bus.h
@@ -5,7 +5,7 @@
 
 #include "core/core.h"
 #include "net/link.h"
-#include "proto/bus.h"
+#include "proto/bus/bus.h"
 
 namespace firvalve::net {
 
--- a/src/net/clients.h
+++ b/src/net/clients.h
@@ -8,7 +8,7 @@
 
 #include "core/core.h"
 #include "net/link.h"
-#include "proto/rpc.h"
+#include "proto/jsonrpc/rpc.h"
 
 namespace firvalve::net {
 
--- a/src/net/engines.h
+++ b/src/net/engines.h
@@ -7,7 +7,7 @@
 
 #include "core/core.h"
 #include "net/link.h"
-#include "proto/query.h"
+#include "proto/store/query.h"
 
 namespace firvalve::net {
 
--- a/src/net/loop.h
+++ b/src/net/loop.h
@@ -9,7 +9,7 @@
 #include <memory>
 #include <vector>
 
-#include "rules.h"
+#include "policy/rules.h"
 
 namespace firvalve::net {
 
--- a/src/rules.cpp
+++ b/src/policy/rules.cpp
@@ -11,7 +11,7 @@
 //   4. warm-up  an engine that started, or came back from silence, gets a budget of work
 //   5. bad plan a send that runs far longer than predicted, or stands still, is withdrawn and sent again
 //   6. terms    priority and memory by prediction, where engines heed them
-#include "rules.h"
+#include "policy/rules.h"
 
 #include <algorithm>
 #include <cmath>
--- a/src/rules.h
+++ b/src/policy/rules.h
@@ -10,9 +10,9 @@
 #include <variant>
 #include <vector>
 
-namespace firvalve {
+#include "index/units.h"
 
-using Ms = double;  // all times and all work: milliseconds with fractions
+namespace firvalve {
 
 struct CommandId {
   std::array<char, 16> text{};
--- a/src/state.cpp
+++ b/src/policy/state.cpp
@@ -1,7 +1,7 @@
 // The containers of the state and the reading of articles. Nothing is decided here.
 #include <algorithm>
 
-#include "rules.h"
+#include "policy/rules.h"
 
 namespace firvalve {
 
--- a/src/proto/bus.cpp
+++ b/src/proto/bus/bus.cpp
@@ -1,4 +1,4 @@
-#include "proto/bus.h"
+#include "proto/bus/bus.h"
 
 #include "proto/json.h"
 
--- a/src/proto/bus.h
+++ b/src/proto/bus/bus.h
@@ -9,7 +9,7 @@
 #include <vector>
 
 #include "proto/inbox.h"
-#include "rules.h"
+#include "policy/rules.h"
 
 namespace firvalve::proto {
 
--- a/src/proto/rpc.cpp
+++ b/src/proto/jsonrpc/rpc.cpp
@@ -1,4 +1,4 @@
-#include "proto/rpc.h"
+#include "proto/jsonrpc/rpc.h"
 
 #include <fmt/format.h>
 
--- a/src/proto/rpc.h
+++ b/src/proto/jsonrpc/rpc.h
@@ -5,7 +5,7 @@
 #include <string>
 
 #include "proto/inbox.h"
-#include "rules.h"
+#include "index/units.h"
 
 namespace firvalve::proto {
 
--- a/src/proto/http.cpp
+++ b/src/proto/store/http.cpp
@@ -1,4 +1,4 @@
-#include "proto/http.h"
+#include "proto/store/http.h"
 
 #include "proto/head.h"
 
--- a/src/proto/query.cpp
+++ b/src/proto/store/query.cpp
@@ -1,4 +1,4 @@
-#include "proto/query.h"
+#include "proto/store/query.h"
 
 #include <fmt/format.h>
 
--- a/src/proto/query.h
+++ b/src/proto/store/query.h
@@ -3,8 +3,8 @@
 
 #include <string>
 
-#include "proto/http.h"
-#include "rules.h"
+#include "proto/store/http.h"
+#include "policy/rules.h"
 
 namespace firvalve::proto {
 
--- a/src/proto/term.h
+++ b/src/proto/term.h
@@ -3,7 +3,7 @@
 
 #include <algorithm>
 
-#include "rules.h"
+#include "index/units.h"
 
 namespace firvalve::proto {
 
--- a/tests/wire_test.cpp
+++ b/tests/drill/wire_test.cpp
@@ -1,7 +1,7 @@
 #include "drill/wire.h"
 
 #include "core/articles.h"
-#include "helpers.h"
+#include "policy/helpers.h"
 
 namespace firvalve::drill {
 namespace {
--- a/tests/helpers.h
+++ b/tests/policy/helpers.h
@@ -6,7 +6,7 @@
 #include <algorithm>
 #include <cstdio>
 
-#include "rules.h"
+#include "policy/rules.h"
 
 namespace firvalve {
 
--- a/tests/rules_test.cpp
+++ b/tests/policy/rules_test.cpp
@@ -1,6 +1,6 @@
-#include "rules.h"
+#include "policy/rules.h"
 
-#include "helpers.h"
+#include "policy/helpers.h"
 
 namespace firvalve {
 namespace {
--- a/tests/proto_test.cpp
+++ b/tests/proto/proto_test.cpp
@@ -1,10 +1,10 @@
 #include <gtest/gtest.h>
 
 #include "proto/base64.h"
-#include "proto/bus.h"
-#include "proto/http.h"
-#include "proto/query.h"
-#include "proto/rpc.h"
+#include "proto/bus/bus.h"
+#include "proto/store/http.h"
+#include "proto/store/query.h"
+#include "proto/jsonrpc/rpc.h"
 #include "proto/statement.h"
 
 namespace firvalve::proto {
