A client library, firvalve call and ping, and scripted stand-ins as a package

Need: clients of the gateways have no library that keeps deadlines, honours refusals and spreads reconnects; tests kept their stand-ins in one file. Change: src/client (plan without I/O, driver on POCO's PollSet, one public header); firvalve call, ping, check; src/standin (engine, bus, gateway, process, told what to do by the statement); src/config reads the operator's file; marked repeats are joined to what they repeat (clients.marks, off by default); scripts/quickstart.

--- a/src/core/core.cpp
+++ b/src/core/core.cpp
@@ -72,6 +72,8 @@
   if (asked.timeout > 2 * longest_timeout_ || asked.estimate > most_estimate_ ||
       asked.memory_mb > most_memory_mb_)
     return TakeIn::kOutOfRange;
+  const int number_of_profile = static_cast<int>(profile - profiles_.begin());
+  if (!asked.first.empty() && join(call, asked, number_of_profile)) return TakeIn::kTaken;
   if (held_bytes_ + asked.statement.size() > most_held_) return TakeIn::kNoRoom;
   const CommandId id = command_id(asked.command);
   const auto [at, added] = held_.try_emplace(id.text);
@@ -80,7 +82,9 @@
   h.call = call;
   h.statement = std::move(asked.statement);
   held_bytes_ += h.statement.size();
-  h.profile = static_cast<int>(profile - profiles_.begin());
+  h.profile = number_of_profile;
+  h.chain = asked.first.empty() ? id.text : command_id(asked.first).text;
+  if (h.chain != id.text) chains_[h.chain] = id.text;
   h.gives_up_at = sooner(now + asked.timeout, closes_at_);
   calls_[call] = id.text;
   counters_.add("taken", *profile);
@@ -91,10 +95,26 @@
   t.estimate = asked.estimate;
   t.memory_mb = asked.memory_mb;
   t.tables = asked.tables;
+  t.repeat = !asked.first.empty();
   hear_now(now, t);
   return TakeIn::kTaken;
 }
 
+// Guards against a second run of what is still in hand, when a client lost sight of it and says it again: it
+// runs once and each call gets the answer. Only the same statement of the same profile is the same command;
+// whoever can name both and the id could have read the answer anyway.
+bool Core::join(CallRef call, const Asked& asked, int profile) {
+  const Id chain = command_id(asked.first).text;
+  const auto repeat = chains_.find(chain);
+  const auto at = held_.find(repeat != chains_.end() ? repeat->second : chain);
+  if (at == held_.end() || at->second.call == 0) return false;
+  if (at->second.profile != profile || at->second.statement != asked.statement) return false;
+  at->second.joined.push_back(call);
+  calls_[call] = at->first;
+  counters_.add("joined", profiles_[static_cast<size_t>(profile)]);
+  return true;
+}
+
 CallRef Core::call_of(std::string_view command) const {
   const auto at = held_.find(command_id(command).text);
   return at == held_.end() ? 0 : at->second.call;
@@ -104,14 +124,26 @@
   const auto at = calls_.find(call);
   if (at == calls_.end()) return;
   const CommandId id{at->second};
-  counters_.add("given up by client", profiles_[static_cast<size_t>(held_.at(id.text).profile)]);
+  Held& h = held_.at(id.text);
+  counters_.add("given up by client", profiles_[static_cast<size_t>(h.profile)]);
+  if (!h.joined.empty()) {  // the others still wait for it
+    if (h.call == call)
+      h.call = h.joined.back(), h.joined.pop_back();
+    else
+      std::erase(h.joined, call);
+    calls_.erase(at);
+    return;
+  }
   finish(held_.find(id.text));
   hear_now(now, ClientGone{id});
 }
 
 void Core::finish(HeldMap::iterator at) {
-  calls_.erase(at->second.call);
+  tell(at->second, [&](CallRef call) { calls_.erase(call); });
   at->second.call = 0;
+  at->second.joined.clear();
+  if (const auto chain = chains_.find(at->second.chain); chain != chains_.end() && chain->second == at->first)
+    chains_.erase(chain);
   if (at->second.send == 0) erase(at);
 }
 
@@ -185,7 +217,7 @@
   h->second.send = 0;
   if (outcome == Outcome::kOk && h->second.call != 0) {
     counters_.add("answered", profiles_[static_cast<size_t>(h->second.profile)]);
-    front_.answer(h->second.call, rows);
+    tell(h->second, [&](CallRef call) { front_.answer(call, rows); });
     finish(h);
     s.finished = true;
   } else if (h->second.call == 0) {
@@ -265,7 +297,9 @@
     case Action::Kind::kShed:
     case Action::Kind::kFail:
       counters_.add(a.kind == Action::Kind::kShed ? "shed" : "failed", profile);
-      if (h.call != 0) a.kind == Action::Kind::kShed ? front_.shed(h.call, a.wait) : front_.fail(h.call);
+      tell(h, [&](CallRef call) {
+        a.kind == Action::Kind::kShed ? front_.shed(call, a.wait) : front_.fail(call);
+      });
       if (h.call != 0) finish(at);
       break;
     default:
--- a/src/core/core.h
+++ b/src/core/core.h
@@ -53,6 +53,7 @@
   int64_t tables = -1;
   Ms timeout = 0, estimate = 0;
   double memory_mb = 0;
+  std::string_view first = {};  // marked as a repeat: the id of its chain's first command; empty: no mark
 };
 
 // Estimates are rough. One of so many times what the largest engine can give within the longest client
@@ -108,7 +109,9 @@
   // new. Guards against a client that says the same again at once, or takes it back: the module would take
   // the one for the other and count a send as out for good.
   struct Held {
-    CallRef call = 0;
+    CallRef call = 0;             // 0: no client waits for it any more
+    std::vector<CallRef> joined;  // further calls for it: marked repeats
+    Id chain{};                   // the first id of its repeats: its own, or the one it was marked with
     std::string statement;
     int profile = 0, sends = 0, priority = -1;
     uint64_t send = 0;  // out now; 0: none
@@ -122,6 +125,12 @@
   void carry_out(Ms now, const Action& action);
   void erase(HeldMap::iterator at);
   void finish(HeldMap::iterator at);  // answered: it stays for as long as a send is out
+  bool join(CallRef call, const Asked& asked, int profile);
+  template <class Tell>
+  void tell(const Held& h, Tell&& one) {  // each call that waits for it
+    if (h.call != 0) one(h.call);
+    for (const CallRef call : h.joined) one(call);
+  }
   uint32_t number_of(const std::string& name);
 
   State state_;
@@ -132,6 +141,7 @@
   std::function<void(const std::string&)> log_;
   HeldMap held_;
   std::map<CallRef, Id> calls_;
+  std::map<Id, Id> chains_;  // of those marked with another's id, while a client waits: the one in hand
   std::map<uint64_t, Id> sends_;
   std::vector<Id> done_;  // held until the next decisions alone
   std::map<std::string, uint32_t> numbers_;
--- a/src/gateway/main.cpp
+++ b/src/gateway/main.cpp
@@ -3,15 +3,44 @@
 #include <cstdio>
 #include <exception>
 
+#include "config/operator.h"
+#include "gateway/call.h"
 #include "gateway/serve.h"
 
+namespace {
+
+int check(const std::string& file) {
+  const firvalve::config::Reading reading = firvalve::config::read_operator_file(file);
+  for (const auto& fault : reading.faults)
+    std::fprintf(stderr, "%s\n", firvalve::config::line_of(file, fault).c_str());
+  if (!reading.good()) return 1;
+  std::fputs(firvalve::config::described(reading.values).c_str(), stdout);
+  return 0;
+}
+
+}  // namespace
+
 int main(int argc, char** argv) {
   CLI::App app("An admission controller for queries on pooled engines.", "firvalve");
+  int exit_code = 0;
+  std::string operator_file, checked;
   app.set_version_flag("--version", FIRVALVE_VERSION);
+  app.add_option("--operator", operator_file, "the operator's own file, which switches features on");
   app.footer("Without a sub-command: the gateway told by the file that NODE_CONFIG names.");
-  CLI11_PARSE(app, argc, argv);
+  app.require_subcommand(0, 1);
+  firvalve::add_call(app, exit_code);
+  firvalve::add_ping(app, exit_code);
+  CLI::App* const checking = app.add_subcommand("check", "Reads an operator's file and tells what it says");
+  checking->add_option("file", checked)->required();
+  checking->callback([&] { exit_code = check(checked); });
+  try {
+    app.parse(argc, argv);
+  } catch (const CLI::ParseError& e) {
+    return app.exit(e) == 0 ? 0 : firvalve::kExitUsage;
+  }
+  if (!app.get_subcommands().empty()) return exit_code;
   try {
-    return firvalve::serve();
+    return firvalve::serve(operator_file);
   } catch (const std::exception& e) {
     std::fprintf(stderr, "firvalve: %s\n", e.what());
     return 1;
--- a/src/gateway/serve.cpp
+++ b/src/gateway/serve.cpp
@@ -8,6 +8,7 @@
 #include <iostream>
 #include <sstream>
 
+#include "config/operator.h"
 #include "core/articles.h"
 #include "net/bus.h"
 #include "net/clients.h"
@@ -91,9 +92,18 @@
   return told;
 }
 
+config::Operator read_wishes(const std::string& file) {
+  if (file.empty()) return {};
+  const config::Reading reading = config::read_operator_file(file);
+  if (reading.good()) return reading.values;
+  for (size_t i = 1; i < reading.faults.size(); ++i) log(config::line_of(file, reading.faults[i]));
+  throw Unusable(config::line_of(file, reading.faults.front()));
+}
+
 }  // namespace
 
-int serve() {
+int serve(const std::string& operator_file) {
+  const config::Operator wishes = read_wishes(operator_file);
   Told told = read_told();
   const Articles& articles = told.articles;
   const double bytes = told.memory_mb * 1024 * 1024;
@@ -102,6 +112,7 @@
   Counters counters;
   const Ms connect = number(articles, "connect time-out", 250);
   net::Clients clients(loop, counters);
+  clients.read_marks(wishes.clients.marks);
   net::Engines engines(loop, counters, {connect, number(articles, "idle close", 15000)});
   Core core(articles, told.seed, clients, engines, counters, log);
   core.limit(static_cast<size_t>(kStatementPart * bytes));
--- a/src/net/clients.cpp
+++ b/src/net/clients.cpp
@@ -123,7 +123,7 @@
   };
   switch (call.kind) {
     case proto::RpcCall::Kind::kHeartbeat:
-      if (call.has_id) proto::append_healthy(out, call.id, true);
+      if (call.has_id) proto::append_healthy(out, call.id, true, owner_.marks_);
       break;
     case proto::RpcCall::Kind::kRevoke: {
       const auto at = open_calls.find(call.revoked);
@@ -148,6 +148,13 @@
       asked.profile = call.profile;
       asked.tables = proto::table_group(call.statement);
       asked.statement = std::move(call.statement);
+      if (owner_.marks_ && !call.first.empty()) {
+        if (!proto::is_command_id(call.first)) {
+          refuse(-32602, "first is not 16 hex digits");
+          break;
+        }
+        asked.first = call.first;
+      }
       asked.timeout = call.timeout;
       asked.estimate = call.estimate;
       asked.memory_mb = call.memory_mb;
--- a/src/net/clients.h
+++ b/src/net/clients.h
@@ -21,6 +21,7 @@
   Ms next_due() const { return look_at_; }
   size_t unsent() const;  // bytes of answers that clients have not taken yet
 
+  void read_marks(bool on) { marks_ = on; }  // of repeats; the operator's wish
   void listen(const std::string& address, Core& core);
   void answer(CallRef call, std::string_view rows) override;
   void shed(CallRef call, Ms advice) override;
@@ -42,7 +43,7 @@
   Counters& counters_;
   Core* core_ = nullptr;
   Poco::Net::ServerSocket listener_;
-  bool accepting_ = false;
+  bool accepting_ = false, marks_ = false;
   Ms look_at_ = 0;
   std::map<Connection*, std::unique_ptr<Connection>> connections_;
   std::map<CallRef, Open> open_;
--- /dev/null
+++ b/src/proto/jsonrpc/reply.cpp
@@ -0,0 +1,106 @@
+#include "proto/jsonrpc/reply.h"
+
+#include <fmt/format.h>
+#include <rapidjson/stringbuffer.h>
+#include <rapidjson/writer.h>
+
+#include <algorithm>
+#include <cmath>
+#include <iterator>
+
+#include "proto/base64.h"
+#include "proto/json.h"
+
+namespace firvalve::proto {
+namespace {
+
+using rapidjson::Value;
+
+constexpr size_t kMessageMost = 200;  // bytes kept of an error's text
+
+std::string quoted(std::string_view text) {
+  rapidjson::StringBuffer buffer;
+  rapidjson::Writer<rapidjson::StringBuffer> writer(buffer);
+  writer.String(text.data(), static_cast<rapidjson::SizeType>(text.size()));
+  return {buffer.GetString(), buffer.GetSize()};
+}
+
+void append_framed(std::string& out, std::string_view body) {
+  fmt::format_to(std::back_inserter(out), "Content-Length: {}\r\n\r\n", body.size());
+  out += body;
+}
+
+void read_error(const Value& error, RpcReply& reply) {
+  reply.kind = RpcReply::Kind::kFailed;
+  const Value* code = member(error, "code");
+  if (code && code->IsInt()) reply.code = code->GetInt();
+  if (const Value* text = member(error, "message"); text && text->IsString())
+    reply.message.assign(text->GetString(), std::min<size_t>(text->GetStringLength(), kMessageMost));
+  if (reply.code != kRpcShed) return;
+  reply.kind = RpcReply::Kind::kShed;
+  const Value* data = member(error, "data");
+  if (!data || !data->IsObject()) return;
+  // Advice that is no time is none: it must neither hold a client off for good nor let it hammer.
+  const Value* holdoff = member(*data, "holdoff");
+  if (holdoff && holdoff->IsNumber() && std::isfinite(holdoff->GetDouble()))
+    reply.holdoff = std::max(0.0, holdoff->GetDouble());
+}
+
+}  // namespace
+
+void append_command(std::string& out, const RpcCommand& c) {
+  std::string body = fmt::format(R"({{"jsonrpc":"2.0","id":{},"method":{},"params":{{"req":"{}",)", c.id,
+                                 quoted(c.profile), c.req);
+  if (!c.first.empty()) fmt::format_to(std::back_inserter(body), R"("first":"{}",)", c.first);
+  fmt::format_to(std::back_inserter(body), R"("timeout":{:.0f},"ms":{:.1f},"mem":{:.1f},"bytes":")",
+                 std::max(1.0, std::floor(c.timeout)), c.estimate, c.memory_mb);
+  append_base64(body, c.statement);
+  body += R"("}})";
+  append_framed(out, body);
+}
+
+void append_revoke(std::string& out, int64_t id, std::string_view req) {
+  append_framed(
+      out, fmt::format(R"({{"jsonrpc":"2.0","method":"revoke","params":{{"id":{},"req":"{}"}}}})", id, req));
+}
+
+void append_heartbeat(std::string& out, int64_t id) {
+  append_framed(out, fmt::format(R"({{"jsonrpc":"2.0","id":{},"method":"heartbeat","params":{{}}}})", id));
+}
+
+RpcReply read_reply(std::span<char> body) {
+  RpcReply reply;
+  char& behind = *(body.data() + body.size());
+  const char kept = behind;
+  behind = '\0';
+  rapidjson::Document message;
+  message.ParseInsitu<rapidjson::kParseIterativeFlag>(body.data());
+  behind = kept;
+  if (message.HasParseError() || !message.IsObject()) return reply;
+  if (const Value* id = member(message, "id"); id && id->IsInt64()) {
+    reply.has_id = true;
+    reply.id = id->GetInt64();
+  }
+  if (const Value* error = member(message, "error"); error && error->IsObject()) {
+    read_error(*error, reply);
+    return reply;
+  }
+  const Value* result = member(message, "result");
+  if (!reply.has_id || !result || !result->IsObject()) return reply;
+  if (const Value* healthy = member(*result, "healthy"); healthy && healthy->IsBool()) {
+    reply.kind = RpcReply::Kind::kHeartbeat;
+    reply.healthy = healthy->GetBool();
+    const Value* marks = member(*result, "marks");
+    reply.marks = marks && marks->IsBool() && marks->GetBool();
+    return reply;
+  }
+  const Value* bytes = member(*result, "bytes");
+  if (!bytes || !bytes->IsString()) return reply;
+  auto rows = from_base64({bytes->GetString(), bytes->GetStringLength()});
+  if (!rows) return reply;
+  reply.rows = std::move(*rows);
+  reply.kind = RpcReply::Kind::kRows;
+  return reply;
+}
+
+}  // namespace firvalve::proto
--- /dev/null
+++ b/src/proto/jsonrpc/reply.h
@@ -0,0 +1,45 @@
+// The clients' end of the JSON-RPC in rpc.h: what a client writes to a gateway and what the answers say.
+// Used by the client library; the gateway itself needs none of it.
+#pragma once
+
+#include <cstdint>
+#include <span>
+#include <string>
+#include <string_view>
+
+#include "proto/jsonrpc/rpc.h"
+
+namespace firvalve::proto {
+
+// The longest statement that a gateway reads: base64 and the fields round it fill a message.
+constexpr size_t kRpcStatementMost = (kRpcBodyMost - 1024) / 4 * 3;
+
+struct RpcCommand {
+  int64_t id = 0;
+  std::string_view profile, statement;
+  std::string_view req;    // 16 hex digits
+  std::string_view first;  // the first req of a chain of repeats; empty: not told
+  Ms timeout = 0, estimate = 0;
+  double memory_mb = 0;
+};
+void append_command(std::string& out, const RpcCommand& command);
+void append_revoke(std::string& out, int64_t id, std::string_view req);
+void append_heartbeat(std::string& out, int64_t id);
+
+// One answer. The kind tells which of the other fields mean anything.
+struct RpcReply {
+  enum class Kind { kRows, kShed, kFailed, kHeartbeat, kUnread };
+  Kind kind = Kind::kUnread;
+  bool has_id = false;
+  int64_t id = 0;
+  std::string rows;                     // kRows, decoded
+  Ms holdoff = 0;                       // kShed; 0: none, or none that is a time
+  int code = 0;                         // kShed, kFailed
+  std::string message;                  // the same
+  bool healthy = false, marks = false;  // kHeartbeat; marks: the gateway reads `first`
+};
+
+// Reads a message, which is changed on the way. The byte behind it must be writable.
+RpcReply read_reply(std::span<char> body);
+
+}  // namespace firvalve::proto
--- a/src/proto/jsonrpc/rpc.cpp
+++ b/src/proto/jsonrpc/rpc.cpp
@@ -31,10 +31,6 @@
   return true;
 }
 
-bool is_command_id(std::string_view text) {
-  return text.size() == 16 && text.find_first_not_of("0123456789abcdefABCDEF") == std::string_view::npos;
-}
-
 RpcCall invalid(RpcCall call, int code, const char* why) {
   call.kind = RpcCall::Kind::kInvalid;
   call.code = code;
@@ -49,6 +45,10 @@
 
 }  // namespace
 
+bool is_command_id(std::string_view text) {
+  return text.size() == 16 && text.find_first_not_of("0123456789abcdefABCDEF") == std::string_view::npos;
+}
+
 Read RpcFrames::next(Inbox& in, std::span<char>& body) {
   if (!in_body_) {
     const size_t end = head_end(in.text().substr(0, kRpcHeadMost));
@@ -59,7 +59,7 @@
       const auto field = field_of(line);
       if (!field) return Read::kBroken;
       if (!same_name(field->name, "Content-Length")) continue;
-      const auto length = whole_number(field->value, kRpcBodyMost);
+      const auto length = whole_number(field->value, static_cast<int64_t>(most_));
       if (!length || found) return Read::kBroken;
       found = true;
       length_ = static_cast<size_t>(*length);
@@ -110,6 +110,7 @@
   std::string_view bytes;
   if (!put_text(*params, "req", call.command) || !is_command_id(call.command))
     return invalid(call, -32602, "req is not 16 hex digits");
+  put_text(*params, "first", call.first);
   if (!member(*params, "timeout") || !put_figure(*params, "timeout", call.timeout) || call.timeout < 1)
     return invalid(call, -32602, "timeout is not a number of milliseconds");
   if (!put_figure(*params, "ms", call.estimate) || !put_figure(*params, "mem", call.memory_mb))
@@ -131,8 +132,9 @@
   out += kTail;
 }
 
-void append_healthy(std::string& out, int64_t id, bool healthy) {
-  append_message(out, fmt::format(R"({{"jsonrpc":"2.0","id":{},"result":{{"healthy":{}}}}})", id, healthy));
+void append_healthy(std::string& out, int64_t id, bool healthy, bool marks) {
+  append_message(out, fmt::format(R"({{"jsonrpc":"2.0","id":{},"result":{{"healthy":{}{}}}}})", id, healthy,
+                                  marks ? R"(,"marks":true)" : ""));
 }
 
 void append_error(std::string& out, int64_t id, bool has_id, int code, std::string_view message) {
--- a/src/proto/jsonrpc/rpc.h
+++ b/src/proto/jsonrpc/rpc.h
@@ -4,8 +4,8 @@
 #include <cstdint>
 #include <string>
 
-#include "proto/inbox.h"
 #include "index/units.h"
+#include "proto/inbox.h"
 
 namespace firvalve::proto {
 
@@ -18,10 +18,12 @@
 // Finds the next message in what is held. Broken framing is final.
 class RpcFrames {
  public:
+  explicit RpcFrames(size_t most = kRpcBodyMost) : most_(most) {}  // bytes of a message
   Read next(Inbox& in, std::span<char>& body);  // the body is good until the inbox's next room()
   bool in_message() const { return in_body_; }
 
  private:
+  size_t most_;
   bool in_body_ = false;
   size_t length_ = 0;
 };
@@ -34,17 +36,20 @@
   int code = 0;  // of the error that an invalid one gets
   const char* why = "";
   std::string_view profile, command;  // slices of the body
-  int64_t revoked = 0;                // the id of the request given up, 0: told by the command alone
+  std::string_view first;  // a repeat's mark: the first req of its chain; empty: not told; not checked
+  int64_t revoked = 0;     // the id of the request given up, 0: told by the command alone
   Ms timeout = 0, estimate = 0, memory_mb = 0;
   std::string statement;  // decoded: it outlives the message
 };
 
+bool is_command_id(std::string_view text);  // 16 hex digits
+
 // Reads a message; slices point into the body, which is changed on the way. The byte behind the body must be
 // writable.
 RpcCall read_call(std::span<char> body);
 
 void append_result(std::string& out, int64_t id, std::string_view rows);
-void append_healthy(std::string& out, int64_t id, bool healthy);
+void append_healthy(std::string& out, int64_t id, bool healthy, bool marks = false);
 void append_error(std::string& out, int64_t id, bool has_id, int code, std::string_view message);
 void append_shed(std::string& out, int64_t id, double stay_away_ms);
 constexpr int kRpcFailed = -32000, kRpcShed = -32001, kRpcUnreadable = -32700;
--- /dev/null
+++ b/src/standin/bus.cpp
@@ -0,0 +1,108 @@
+#include "standin/bus.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+
+#include "proto/head.h"
+
+namespace firvalve::standin {
+
+namespace {
+constexpr Ms kSecond = 1000;
+}
+
+std::string listing(const std::string& name, const std::string& address, const std::string& state,
+                    const std::string& machine) {
+  return fmt::format(
+      R"({{"id":"{}","addr":"{}","zone":"z","kind":"{}","cell":0,"state":"{}","weight":1,"started_ms":0}})",
+      name, address, machine, state);
+}
+
+std::string topology(int64_t offset, bool full, const std::string& listings) {
+  return fmt::format(R"({{"offset":{},"topology":{{"version":1,"full":{},"servers":[{}]}}}})", offset, full,
+                     listings);
+}
+
+class Bus::Connection : public net::Link {
+ public:
+  Connection(Bus& owner, const Poco::Net::StreamSocket& socket)
+      : Link(owner.host_.loop(), socket), owner_(owner) {}
+
+ protected:
+  void on_bytes() override {
+    const size_t end = inbox_.text().find('\n');
+    if (end == std::string_view::npos) return;
+    const std::string_view line = inbox_.text().substr(0, end);
+    const auto from =
+        line.starts_with("from ") ? proto::whole_number(line.substr(5), 1LL << 40) : std::nullopt;
+    inbox_.used(end + 1);
+    if (!from) return owner_.connections_.end(this);
+    owner_.serve(*this, *from);
+  }
+  void on_end(End) override { owner_.connections_.end(this); }
+
+ private:
+  Bus& owner_;
+};
+
+Bus::Bus(Host& host, int64_t last)
+    : host_(host), connections_(host), first_(last), alive_(std::make_shared<bool>(true)) {
+  host_.do_now([&] {
+    listener_ = std::make_unique<Listener>(host_, [this](Poco::Net::StreamSocket socket) {
+      connections_.add(std::make_unique<Connection>(*this, socket));
+    });
+    listener_->listen("127.0.0.1:0");
+    address_ = listener_->address();
+    tick();
+  });
+}
+
+Bus::~Bus() {
+  host_.do_now([&] {
+    *alive_ = false;
+    listener_.reset();
+    connections_.end_all(false);
+  });
+}
+
+void Bus::announce(const std::string& listings) {
+  host_.do_now([&] {
+    const int64_t number = first_ + static_cast<int64_t>(events_.size()) + 1;
+    events_.push_back(topology(number, false, listings) + "\n");
+    for (Connection* const c : std::vector(followers_))
+      if (connections_.has(c)) c->write(events_.back());
+  });
+}
+
+void Bus::say_first(std::string line) {
+  host_.do_now([&] { say_first_ = std::move(line); });
+}
+
+std::vector<int64_t> Bus::asked_from() const {
+  const std::lock_guard lock(mutex_);
+  return asked_;
+}
+
+void Bus::serve(Connection& connection, int64_t from) {
+  {
+    const std::lock_guard lock(mutex_);
+    asked_.push_back(from);
+  }
+  connection.write(std::exchange(say_first_, {}));
+  for (int64_t n = std::max(from, first_); n < first_ + static_cast<int64_t>(events_.size()); ++n)
+    connection.write(events_[static_cast<size_t>(n - first_)]);
+  followers_.push_back(&connection);
+}
+
+void Bus::tick() {
+  std::erase_if(followers_, [&](Connection* c) { return !connections_.has(c); });
+  const std::string line = fmt::format("{}\n", first_ + static_cast<int64_t>(events_.size()));
+  for (Connection* const c : std::vector(followers_))
+    if (connections_.has(c)) c->write(line);
+  host_.after(kSecond, [this, alive = alive_] {
+    if (*alive) tick();
+  });
+}
+
+}  // namespace firvalve::standin
--- /dev/null
+++ b/src/standin/bus.h
@@ -0,0 +1,45 @@
+// The event bus as the gateways meet it: `from N`, then all later events and each second the last number.
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include "standin/host.h"
+
+namespace firvalve::standin {
+
+// One engine as the bus lists it.
+std::string listing(const std::string& name, const std::string& address, const std::string& state,
+                    const std::string& machine = "std");
+// One event, whole, as the bus and `known` of a gateway's configuration tell it.
+std::string topology(int64_t offset, bool full, const std::string& listings);
+
+// From any thread.
+class Bus {
+ public:
+  explicit Bus(Host& host, int64_t last = 1);
+  ~Bus();
+  std::string address() const { return address_; }
+  void announce(const std::string& listings);  // the next event: what has changed
+  void say_first(std::string line);            // a line, as it is, before all else on the next connection
+  std::vector<int64_t> asked_from() const;     // the numbers that connections asked from, in order
+
+ private:
+  class Connection;
+  void tick();
+  void serve(Connection& connection, int64_t from);
+
+  Host& host_;
+  std::string address_;
+  std::unique_ptr<Listener> listener_;
+  Connections<Connection> connections_;
+  std::vector<Connection*> followers_;
+  std::vector<std::string> events_;  // from first_ + 1 on
+  int64_t first_;
+  std::string say_first_;
+  std::shared_ptr<bool> alive_;
+  mutable std::mutex mutex_;
+  std::vector<int64_t> asked_;
+};
+
+}  // namespace firvalve::standin
--- /dev/null
+++ b/src/standin/engine.cpp
@@ -0,0 +1,287 @@
+#include "standin/engine.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+
+#include "proto/head.h"
+
+namespace firvalve::standin {
+
+namespace {
+
+constexpr Ms kNewsWait = 250;  // the protocol's: news come within it
+constexpr Ms kUnasked = 2000;  // the protocol's: a query that is not asked for so long has ended
+constexpr std::string_view kPath = "/v1/store";
+
+std::string http(std::string_view status, std::string_view fields, std::string_view body) {
+  return fmt::format("HTTP/1.1 {}\r\n{}Content-Length: {}\r\n\r\n{}", status, fields, body.size(), body);
+}
+
+std::string note_fields(const Script& s) {
+  const size_t colon = s.note.find(':');
+  if (colon == std::string::npos) return {};
+  return fmt::format("Detail: {}\r\nX-Val: {}\r\n", s.note.substr(0, colon), s.note.substr(colon + 1));
+}
+
+}  // namespace
+
+class Engine::Connection : public net::Link {
+ public:
+  Connection(Engine& owner, const Poco::Net::StreamSocket& socket)
+      : Link(owner.host_.loop(), socket), owner_(owner) {}
+
+  bool waits = false;  // a call is not answered yet; the next is not read before
+
+  void more() {
+    while (!waits && open()) {
+      const size_t end = proto::head_end(inbox_.text());
+      if (end == std::string_view::npos) return;
+      std::string_view head = inbox_.text().substr(0, end);
+      Call call;
+      call.line = proto::take_line(head);
+      int64_t length = 0;
+      for (std::string_view line = proto::take_line(head); !line.empty(); line = proto::take_line(head)) {
+        const auto field = proto::field_of(line);
+        if (!field) return owner_.connections_.end(this);
+        if (proto::same_name(field->name, "Content-Length"))
+          length = proto::whole_number(field->value, 1 << 24).value_or(0);
+        if (proto::same_name(field->name, "Call-Id")) call.id = field->value;
+      }
+      if (inbox_.text().size() < end + static_cast<size_t>(length)) return;
+      call.statement = inbox_.text().substr(end, static_cast<size_t>(length));
+      inbox_.used(end + static_cast<size_t>(length));
+      owner_.hear(*this, call);
+      if (!owner_.connections_.has(this)) return;
+    }
+  }
+
+ protected:
+  void on_bytes() override { more(); }
+  void on_end(End) override { owner_.connections_.end(this); }
+
+ private:
+  Engine& owner_;
+};
+
+Engine::Engine(Host& host, Means means, const std::string& address)
+    : host_(host),
+      means_(means),
+      connections_(host),
+      slots_free_at_(static_cast<size_t>(means.slots), 0),
+      alive_(std::make_shared<bool>(true)) {
+  host_.do_now([&] {
+    listener_ = std::make_unique<Listener>(host_, [this](Poco::Net::StreamSocket socket) {
+      Connection* const key = connections_.add(std::make_unique<Connection>(*this, socket));
+      if (reset_next_ > 0) --reset_next_, connections_.end(key, true);
+    });
+    listener_->listen(address);
+    address_ = listener_->address();
+    forget_unasked();
+  });
+}
+
+Engine::~Engine() {
+  host_.do_now([&] {
+    *alive_ = false;
+    listener_.reset();
+    connections_.end_all(true);
+  });
+}
+
+void Engine::kill() {
+  host_.do_now([&] {
+    listener_->close();
+    connections_.end_all(true);
+    queries_.clear();
+    std::fill(slots_free_at_.begin(), slots_free_at_.end(), 0.0);
+  });
+}
+
+void Engine::come_back() {
+  host_.do_now([&] { listener_->listen(address_); });
+}
+
+void Engine::hang(bool on) {
+  host_.do_now([&] { hangs_ = on; });
+}
+
+int Engine::runs(const std::string& statement) const {
+  const std::lock_guard lock(mutex_);
+  const auto at = runs_.find(statement);
+  return at == runs_.end() ? 0 : at->second;
+}
+
+int Engine::runs_most() const {
+  const std::lock_guard lock(mutex_);
+  int most = 0;
+  for (const auto& [statement, count] : runs_) most = std::max(most, count);
+  return most;
+}
+
+int Engine::started() const {
+  const std::lock_guard lock(mutex_);
+  int all = 0;
+  for (const auto& [statement, count] : runs_) all += count;
+  return all;
+}
+
+int Engine::calls(const std::string& start) const {
+  const std::lock_guard lock(mutex_);
+  return static_cast<int>(
+      std::count_if(lines_.begin(), lines_.end(), [&](const auto& l) { return l.starts_with(start); }));
+}
+
+std::vector<Ms> Engine::held_after_ready() const {
+  const std::lock_guard lock(mutex_);
+  return held_;
+}
+
+void Engine::hear(Connection& connection, const Call& call) {
+  {
+    const std::lock_guard lock(mutex_);
+    lines_.push_back(call.line);
+  }
+  if (hangs_) {
+    connection.waits = true;
+    return;
+  }
+  const Ms now = host_.loop().now();
+  const std::string_view line = call.line;
+  if (line.starts_with("POST ")) return start(connection, call);
+  const size_t path = line.find(kPath);
+  if (path == std::string_view::npos) return connections_.end(&connection);
+  std::string_view rest = line.substr(path + kPath.size() + 1);
+  rest = rest.substr(0, rest.find(' '));
+  const std::string id(rest.substr(0, rest.find('/')));
+  const auto at = queries_.find(id);
+  if (line.starts_with("DELETE ") || line.starts_with("PUT ")) {
+    if (line.starts_with("DELETE ") && at != queries_.end()) {
+      if (now >= at->second.ready_at) {
+        const std::lock_guard lock(mutex_);
+        held_.push_back(now - at->second.ready_at);
+      }
+      queries_.erase(at);
+    }
+    connection.write("HTTP/1.1 204 No Content\r\n\r\n");
+    return;
+  }
+  const size_t slash = rest.find('/');
+  const int page = slash == std::string_view::npos
+                       ? 0
+                       : static_cast<int>(proto::whole_number(rest.substr(slash + 1), 1000).value_or(0));
+  tell(connection, id, page, now);
+}
+
+void Engine::start(Connection& connection, const Call& call) {
+  const Ms now = host_.loop().now();
+  Query query;
+  query.statement = call.statement;
+  query.script = script_of(call.statement);
+  query.asked_at = now;
+  query.ready_at = now + query.script.delay;
+  if (query.script.status == 503 || query.script.status == 504) {
+    connection.write(http(fmt::format("{} No", query.script.status), "Not-Begun: 1\r\n", ""));
+    return;
+  }
+  if (!slots_free_at_.empty()) {
+    const auto slot = std::min_element(slots_free_at_.begin(), slots_free_at_.end());
+    const Ms begins = std::max(now, *slot);
+    if (begins - now > means_.full_behind) {
+      connection.write(http("503 Full", "Not-Begun: 1\r\n", ""));
+      return;
+    }
+    *slot = query.ready_at = begins + query.script.delay;
+  }
+  {
+    const std::lock_guard lock(mutex_);
+    ++runs_[call.statement];
+  }
+  queries_[call.id] = std::move(query);
+  tell(connection, call.id, 0, now);
+}
+
+// Answers now, or once there is something to tell.
+void Engine::tell(Connection& connection, const std::string& id, int page, Ms asked_at) {
+  const auto at = queries_.find(id);
+  if (at == queries_.end()) {
+    connection.waits = false;
+    return connection.write(http("500 Error", "", ""));
+  }
+  Query& query = at->second;
+  const Ms now = host_.loop().now();
+  query.asked_at = now;
+  if (query.script.silent) {
+    connection.waits = true;
+    return;
+  }
+  if (now >= query.ready_at) {
+    connection.waits = false;
+    return answer(connection, query, page);
+  }
+  if (now >= asked_at + kNewsWait) {
+    connection.waits = false;
+    connection.write(http("202 Accepted", note_fields(query.script), ""));
+    return connection.more();
+  }
+  if (!query.script.note.empty() && !query.noted) {
+    query.noted = true;
+    connection.waits = false;
+    return connection.write(http("202 Accepted", note_fields(query.script), ""));
+  }
+  connection.waits = true;
+  host_.after(std::min(query.ready_at - now, asked_at + kNewsWait - now),
+              [this, alive = alive_, key = &connection, id, page, asked_at] {
+                if (!*alive || !connections_.has(key)) return;
+                tell(*key, id, page, asked_at);
+                if (connections_.has(key)) key->more();
+              });
+}
+
+void Engine::answer(Connection& connection, Query& query, int page) {
+  const Script& s = query.script;
+  if (s.status != 200 || page >= s.pages) return connection.write(http("500 Error", "", ""));
+  bool spoil = false, breaks = false;
+  {
+    const std::lock_guard lock(mutex_);
+    if (s.reset >= 0 || s.cut >= 0) breaks = broken_[query.statement]++ < s.times;
+    if (!breaks && !s.spoil.empty()) spoil = spoilt_[query.statement]++ < s.spoil_times;
+  }
+  std::string body = rows_of(s, page);
+  int told = page;
+  if (spoil && s.spoil == "half") body.resize(body.size() / 2);
+  if (spoil && s.spoil == "page") told = page + 1;
+  std::string text =
+      http("200 OK",
+           page == 0 ? fmt::format("X-Sheets: {}\r\n", s.pages) : fmt::format("X-Sheet: {}\r\n", told), body);
+  if (spoil && s.spoil == "head") text[0] = '?';
+  if (spoil && s.spoil == "length") text.replace(text.find("Content-Length: ") + 16, 1, "99999999");
+  if (spoil && s.spoil == "noise") text += "noise";
+  if (spoil && s.spoil == "twice") text += std::string(text);
+  if (spoil && s.spoil == "junk") text = "junk\r\n\r\n";
+  if (breaks) {
+    reset_next_ += s.reset_next;
+    const auto bytes = static_cast<size_t>(std::max(s.reset, s.cut));
+    connection.write(std::string_view(text).substr(0, bytes));
+    return connections_.end(&connection, s.reset >= 0);
+  }
+  connection.write(text);
+}
+
+void Engine::forget_unasked() {
+  const Ms now = host_.loop().now();
+  for (auto at = queries_.begin(); at != queries_.end();) {
+    const Query& q = at->second;
+    const bool unasked = now - std::max(q.asked_at, std::min(q.ready_at, now)) > kUnasked;
+    if (unasked && now >= q.ready_at) {
+      const std::lock_guard lock(mutex_);
+      held_.push_back(now - q.ready_at);
+    }
+    at = unasked ? queries_.erase(at) : std::next(at);
+  }
+  host_.after(kUnasked / 4, [this, alive = alive_] {
+    if (*alive) forget_unasked();
+  });
+}
+
+}  // namespace firvalve::standin
--- /dev/null
+++ b/src/standin/engine.h
@@ -0,0 +1,73 @@
+// An engine as the gateways meet one: HTTP/1.1 calls that start queries, ask for their news and pages, and
+// give them up. It runs nothing; what it does with a statement, the statement tells (script.h).
+#pragma once
+
+#include <map>
+#include <string>
+#include <vector>
+
+#include "standin/host.h"
+#include "standin/script.h"
+
+namespace firvalve::standin {
+
+// From any thread, unless said otherwise.
+class Engine {
+ public:
+  struct Means {
+    int slots = 0;          // queries at work at once, the rest wait their turn; 0: any number
+    Ms full_behind = 1e18;  // one that would wait longer is turned away as full
+  };
+  explicit Engine(Host& host, Means means, const std::string& address = "127.0.0.1:0");
+  ~Engine();
+
+  std::string address() const { return address_; }
+  // The process dies: connections reset, queries forgotten, the address refuses. And comes back there.
+  void kill();
+  void come_back();
+  void hang(bool on);  // connections stay and new ones come up, and nothing is said
+
+  // What came to it, over all its lives.
+  int runs(const std::string& statement) const;  // that this statement was started
+  int runs_most() const;                         // of any one statement
+  int started() const;                           // queries, of all statements
+  int calls(const std::string& start) const;     // calls whose first line begins so
+  // Of each query given up or ended since: how long it was held after its rows were ready, in ms.
+  std::vector<Ms> held_after_ready() const;
+
+ private:
+  class Connection;
+  struct Call {
+    std::string line, id, statement;
+  };
+  struct Query {
+    std::string statement;
+    Script script;
+    Ms ready_at = 0, asked_at = 0;
+    bool noted = false;
+  };
+  void hear(Connection& connection, const Call& call);
+  void start(Connection& connection, const Call& call);
+  void tell(Connection& connection, const std::string& id, int page, Ms asked_at);
+  void answer(Connection& connection, Query& query, int page);
+  void forget_unasked();
+
+  Host& host_;
+  const Means means_;
+  std::string address_;
+  // On the host's thread:
+  std::unique_ptr<Listener> listener_;
+  Connections<Connection> connections_;
+  std::map<std::string, Query> queries_;
+  std::vector<Ms> slots_free_at_;
+  bool hangs_ = false;
+  int reset_next_ = 0;
+  std::shared_ptr<bool> alive_;  // for what it has asked the host to do later
+  // Shared:
+  mutable std::mutex mutex_;
+  std::map<std::string, int> runs_, broken_, spoilt_;  // by statement
+  std::vector<std::string> lines_;
+  std::vector<Ms> held_;
+};
+
+}  // namespace firvalve::standin
--- /dev/null
+++ b/src/standin/fleet.cpp
@@ -0,0 +1,60 @@
+#include "standin/fleet.h"
+
+#include <Poco/Net/ServerSocket.h>
+#include <fmt/format.h>
+
+#include <algorithm>
+
+namespace firvalve::standin {
+
+Fleet::Fleet(int engines, Engine::Means means) : bus_(std::make_unique<Bus>(host_)) {
+  for (int i = 0; i < engines; ++i) engines_.push_back(std::make_unique<Engine>(host_, means));
+}
+
+std::string Fleet::name_of(int engine) const { return fmt::format("s-{:08x}", 10 + engine); }
+
+std::string Fleet::config(const std::string& listen, int memory_mb, int sockets) const {
+  std::string listings;
+  for (size_t i = 0; i < engines_.size(); ++i)
+    listings += fmt::format("{}{}", i ? "," : "",
+                            listing(name_of(static_cast<int>(i)), engines_[i]->address(), "SERVING"));
+  constexpr std::string_view kProfile =
+      R"({{"name":"{}","semantics":"{}","slo":{}000000,"credit":1.0,"deadline":{}000000}})";
+  const std::string profiles = fmt::format(kProfile, "lookup", "idempotent", 800, 4000) + "," +
+                               fmt::format(kProfile, "report", "idempotent", 5000, 20000) + "," +
+                               fmt::format(kProfile, "load", "at_most_once", 5000, 20000);
+  return fmt::format(
+      R"({{"name":"n1","listen":"{}","seed":"8c1f30d27a5be964",)"
+      R"("limits":{{"cores":1.0,"memory_mb":{},"sockets":{}}},"bus":"{}",)"
+      R"("known":{{"offset":1,"batch":[{}]}},)"
+      R"("settings":{{"peers_total":1,"shapes":["std"],)"
+      R"("specifics":{{"cores_by_kind":[8],"memory_by_kind_mb":[1000],"class_threads":[1,1,1]}},)"
+      R"("ceilings":{{"cancel":true,"try_limit":1,"dial_timeout":250000000,"conn_idle":15000000000,)"
+      R"("retry_after":true,"max_retry_after":5000000000}},)"
+      R"("profiles":[{}]}}}})",
+      listen, memory_mb, sockets, bus_->address(), topology(1, true, listings), profiles);
+}
+
+int Fleet::runs(const std::string& statement) const {
+  int all = 0;
+  for (const auto& e : engines_) all += e->runs(statement);
+  return all;
+}
+int Fleet::runs_most() const {
+  int most = 0;
+  for (const auto& e : engines_) most = std::max(most, e->runs_most());
+  return most;
+}
+int Fleet::started() const {
+  int all = 0;
+  for (const auto& e : engines_) all += e->started();
+  return all;
+}
+
+std::string free_address() {
+  Poco::Net::ServerSocket socket;
+  socket.bind(Poco::Net::SocketAddress("127.0.0.1", 0), true);
+  return socket.address().toString();
+}
+
+}  // namespace firvalve::standin
--- /dev/null
+++ b/src/standin/fleet.h
@@ -0,0 +1,38 @@
+// An installation on loopback: engines, their event bus, and the configuration that a gateway wants.
+#pragma once
+
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "standin/bus.h"
+#include "standin/engine.h"
+
+namespace firvalve::standin {
+
+// Profiles: lookup (replayable), report (replayable, longer), load (non-replayable).
+class Fleet {
+ public:
+  explicit Fleet(int engines, Engine::Means means = {});
+  Engine& engine(int i) { return *engines_[static_cast<size_t>(i)]; }
+  int engines() const { return static_cast<int>(engines_.size()); }
+  Bus& bus() { return *bus_; }
+  Host& host() { return host_; }
+  std::string name_of(int engine) const;
+  // The file that NODE_CONFIG names.
+  std::string config(const std::string& listen, int memory_mb = 192, int sockets = 1024) const;
+  // Over all engines:
+  int runs(const std::string& statement) const;
+  int runs_most() const;
+  int started() const;
+
+ private:
+  Host host_;
+  std::unique_ptr<Bus> bus_;
+  std::vector<std::unique_ptr<Engine>> engines_;
+};
+
+// An address of the loopback range that is free now.
+std::string free_address();
+
+}  // namespace firvalve::standin
--- /dev/null
+++ b/src/standin/host.cpp
@@ -0,0 +1,130 @@
+#include "standin/host.h"
+
+#include <Poco/NObserver.h>
+#include <Poco/Net/NetException.h>
+#include <Poco/Net/StreamSocketImpl.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <future>
+#include <stdexcept>
+
+namespace firvalve::standin {
+
+using Poco::Net::ReadableNotification;
+using Poco::Net::SocketAddress;
+using Poco::Net::StreamSocket;
+
+// A byte on it makes the loop look at what was posted.
+class Host::Bell : public net::Link {
+ public:
+  Bell(Host& host, const int (&ends)[2])
+      : Link(host.loop_, StreamSocket(new Poco::Net::StreamSocketImpl(ends[0])), Kind::kLocal),
+        host_(host),
+        write_end_(ends[1]) {}
+  ~Bell() override { ::close(write_end_); }
+  void ring() {
+    const char byte = 1;
+    [[maybe_unused]] const ssize_t n = ::send(write_end_, &byte, 1, MSG_NOSIGNAL | MSG_DONTWAIT);
+  }
+
+ protected:
+  void on_bytes() override {
+    inbox_.used(inbox_.text().size());
+    host_.run_posted();
+  }
+  void on_end(End) override {}
+
+ private:
+  Host& host_;
+  const int write_end_;
+};
+
+Host::Host() {
+  int ends[2];
+  if (::socketpair(AF_UNIX, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0, ends) != 0)
+    throw std::runtime_error("stand-in: no socket pair");
+  loop_.limit(1 << 20, size_t{1} << 30);
+  bell_ = std::make_unique<Bell>(*this, ends);
+  loop_.on_turn = [this](Ms now) { return turn(now); };
+  thread_ = std::thread([this] { loop_.run(); });
+}
+
+Host::~Host() {
+  post([this] { loop_.stop(); });
+  thread_.join();
+}
+
+void Host::post(std::function<void()> task) {
+  const std::lock_guard lock(mutex_);
+  posted_.push_back(std::move(task));
+  bell_->ring();
+}
+
+void Host::do_now(const std::function<void()>& task) {
+  std::promise<void> done;
+  post([&] {
+    try {
+      task();
+      done.set_value();
+    } catch (...) {
+      done.set_exception(std::current_exception());
+    }
+  });
+  done.get_future().get();
+}
+
+void Host::run_posted() {
+  std::vector<std::function<void()>> tasks;
+  {
+    const std::lock_guard lock(mutex_);
+    tasks.swap(posted_);
+  }
+  for (const auto& task : tasks) task();
+}
+
+void Host::after(Ms wait, std::function<void()> task) {
+  timers_.emplace(loop_.now() + wait, std::move(task));
+}
+
+Ms Host::turn(Ms now) {
+  while (!timers_.empty() && timers_.begin()->first <= now) {
+    const auto task = std::move(timers_.begin()->second);
+    timers_.erase(timers_.begin());
+    task();
+  }
+  return timers_.empty() ? 0 : timers_.begin()->first;
+}
+
+Listener::Listener(Host& host, std::function<void(StreamSocket)> accepted)
+    : host_(host), accepted_(std::move(accepted)) {}
+
+void Listener::listen(const std::string& address) {
+  socket_ = Poco::Net::ServerSocket();
+  socket_.bind(SocketAddress(address_.empty() ? address : address_), true);
+  socket_.listen(1024);
+  socket_.setBlocking(false);
+  address_ = socket_.address().toString();
+  host_.loop().addEventHandler(
+      socket_, Poco::NObserver<Listener, ReadableNotification>(*this, &Listener::on_readable));
+  listening_ = true;
+}
+
+void Listener::close() {
+  if (!listening_) return;
+  listening_ = false;
+  host_.loop().removeEventHandler(
+      socket_, Poco::NObserver<Listener, ReadableNotification>(*this, &Listener::on_readable));
+  socket_.close();
+}
+
+void Listener::on_readable(const Poco::AutoPtr<ReadableNotification>&) {
+  for (int i = 0; i < 256 && listening_; ++i) {
+    const int descriptor =
+        ::accept4(socket_.impl()->sockfd(), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+    if (descriptor < 0) return;
+    accepted_(StreamSocket(new Poco::Net::StreamSocketImpl(descriptor)));
+  }
+}
+
+}  // namespace firvalve::standin
--- /dev/null
+++ b/src/standin/process.cpp
@@ -0,0 +1,77 @@
+#include "standin/process.h"
+
+#include <Poco/Net/NetException.h>
+#include <Poco/Net/StreamSocket.h>
+#include <signal.h>
+#include <stdlib.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <cstdio>
+#include <fstream>
+#include <stdexcept>
+
+namespace firvalve::standin {
+
+Process::Process(std::string program, const std::string& config, std::vector<std::string> arguments)
+    : program_(std::move(program)), arguments_(std::move(arguments)) {
+  if (!config.empty()) {
+    char name[] = "/tmp/firvalve-XXXXXX";
+    const int descriptor = ::mkstemp(name);
+    if (descriptor < 0) throw std::runtime_error("no file for a configuration");
+    ::close(descriptor);
+    path_ = name;
+    rewrite(config);
+  }
+  start();
+}
+
+Process::~Process() {
+  if (process_ > 0) stop(SIGKILL);
+  if (!path_.empty()) std::remove(path_.c_str());
+}
+
+void Process::rewrite(const std::string& config) { std::ofstream(path_, std::ios::trunc) << config; }
+
+void Process::start() {
+  std::vector<char*> words{program_.data()};
+  for (std::string& a : arguments_) words.push_back(a.data());
+  words.push_back(nullptr);
+  // All that allocates happens before the fork: other threads may hold the allocator then.
+  std::string told = "NODE_CONFIG=" + path_;
+  std::vector<char*> environment;
+  for (char** e = environ; *e; ++e)
+    if (!std::string_view(*e).starts_with("NODE_CONFIG=")) environment.push_back(*e);
+  if (!path_.empty()) environment.push_back(told.data());
+  environment.push_back(nullptr);
+  process_ = ::fork();
+  if (process_ != 0) return;
+  ::execve(program_.c_str(), words.data(), environment.data());
+  ::_exit(127);
+}
+
+void Process::signal(int number) {
+  if (process_ > 0) ::kill(process_, number);
+}
+
+int Process::wait() {
+  int status = 0;
+  if (process_ > 0) ::waitpid(process_, &status, 0);
+  process_ = 0;
+  return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+}
+
+bool Process::listens(const std::string& address) {
+  for (int tries = 0; tries < 1000; ++tries) {
+    try {
+      Poco::Net::StreamSocket socket;
+      socket.connect(Poco::Net::SocketAddress(address), Poco::Timespan(1, 0));
+      return true;
+    } catch (const Poco::Exception&) {
+      ::usleep(10000);
+    }
+  }
+  return false;
+}
+
+}  // namespace firvalve::standin
--- /dev/null
+++ b/src/standin/process.h
@@ -0,0 +1,35 @@
+// The gateway's program as a child process: started with a configuration, signalled, waited for.
+#pragma once
+
+#include <sys/types.h>
+
+#include <string>
+#include <vector>
+
+namespace firvalve::standin {
+
+class Process {
+ public:
+  // `config` is written to a file of its own, which NODE_CONFIG then names; empty: none.
+  Process(std::string program, const std::string& config, std::vector<std::string> arguments = {});
+  ~Process();  // SIGKILL, where it still runs
+  Process(const Process&) = delete;
+  Process& operator=(const Process&) = delete;
+
+  void start();  // again, after its end
+  void signal(int number);
+  int wait();  // its exit code; -1: ended by a signal
+  void stop(int number) { signal(number), wait(); }
+  bool running() const { return process_ > 0; }
+  void rewrite(const std::string& config);
+  const std::string& config_path() const { return path_; }
+  // Waits until something listens there, for at most 10 s; false: nothing does.
+  static bool listens(const std::string& address);
+
+ private:
+  std::string program_, path_;
+  std::vector<std::string> arguments_;
+  pid_t process_ = 0;
+};
+
+}  // namespace firvalve::standin
