--- a/src/client/plan.cpp
+++ b/src/client/plan.cpp
@@ -224,6 +224,7 @@
     g.marks = r.marks;
     g.asked_marks = true;
     if (!r.healthy) {
+      l.trial = false;  // it rests, and is closed for that
       leave_gateway(now, l.gateway, "it says that it is not healthy");
     } else if (l.trial) {
       l.trial = false;
--- a/src/client/plan.h
+++ b/src/client/plan.h
@@ -49,7 +49,7 @@
   Ms connect = 1000;                     // until a connection must be up
   Ms silence = 1000;  // without a byte while calls are open: asked for a heartbeat, then left
   Ms idle = 3500;     // a connection that rests is closed, before the gateway would
-  Ms throttle_window = 10000;
+  Ms throttle_window = 3000;  // after an overload, what is sent doubles in less than it
   bool marks = true;
   SpreadTerms spread;
 };
--- a/src/standin/engine.cpp
+++ b/src/standin/engine.cpp
@@ -68,7 +68,6 @@
     : host_(host),
       means_(means),
       connections_(host),
-      slots_free_at_(static_cast<size_t>(means.slots), 0),
       alive_(std::make_shared<bool>(true)) {
   host_.do_now([&] {
     listener_ = std::make_unique<Listener>(host_, [this](Poco::Net::StreamSocket socket) {
@@ -94,7 +93,8 @@
     listener_->close();
     connections_.end_all(true);
     queries_.clear();
-    std::fill(slots_free_at_.begin(), slots_free_at_.end(), 0.0);
+    line_.clear();
+    at_work_ = 0;
   });
 }
 
@@ -161,7 +161,7 @@
         const std::lock_guard lock(mutex_);
         held_.push_back(now - at->second.ready_at);
       }
-      queries_.erase(at);
+      leave(at);
     }
     connection.write("HTTP/1.1 204 No Content\r\n\r\n");
     return;
@@ -179,28 +179,60 @@
   query.statement = call.statement;
   query.script = script_of(call.statement);
   query.asked_at = now;
-  query.ready_at = now + query.script.delay;
   if (query.script.status == 503 || query.script.status == 504) {
     connection.write(http(fmt::format("{} No", query.script.status), "Not-Begun: 1\r\n", ""));
     return;
   }
-  if (!slots_free_at_.empty()) {
-    const auto slot = std::min_element(slots_free_at_.begin(), slots_free_at_.end());
-    const Ms begins = std::max(now, *slot);
-    if (begins - now > means_.full_behind) {
-      connection.write(http("503 Full", "Not-Begun: 1\r\n", ""));
-      return;
-    }
-    *slot = query.ready_at = begins + query.script.delay;
+  if (means_.slots > 0 &&
+      query.script.delay * static_cast<double>(line_.size()) / means_.slots > means_.full_behind) {
+    connection.write(http("503 Full", "Not-Begun: 1\r\n", ""));
+    return;
   }
   {
     const std::lock_guard lock(mutex_);
     ++runs_[call.statement];
   }
-  queries_[call.id] = std::move(query);
+  query.number = ++last_number_;
+  if (const auto same = queries_.find(call.id); same != queries_.end()) leave(same);
+  Query& kept = queries_[call.id] = std::move(query);
+  if (means_.slots == 0 || at_work_ < means_.slots) begin(call.id, kept);
+  else line_.push_back(call.id);
   tell(connection, call.id, 0, now);
 }
 
+void Engine::begin(const std::string& id, Query& query) {
+  ++at_work_;
+  query.works = true;
+  query.ready_at = host_.loop().now() + query.script.delay;
+  host_.after(query.script.delay, [this, alive = alive_, id, number = query.number] {
+    if (!*alive) return;
+    const auto at = queries_.find(id);
+    if (at == queries_.end() || at->second.number != number || !at->second.works) return;
+    at->second.works = false;
+    --at_work_;
+    begin_next();
+    Connection* const waits = std::exchange(at->second.waits, nullptr);
+    if (!waits || !connections_.has(waits)) return;
+    tell(*waits, id, 0, host_.loop().now());
+    if (connections_.has(waits)) waits->more();
+  });
+}
+
+void Engine::begin_next() {
+  while (!line_.empty() && (means_.slots == 0 || at_work_ < means_.slots)) {
+    const std::string id = line_.front();
+    line_.pop_front();
+    if (const auto at = queries_.find(id); at != queries_.end()) begin(id, at->second);
+  }
+}
+
+void Engine::leave(std::map<std::string, Query>::iterator at) {
+  if (at->second.works) --at_work_;
+  else std::erase(line_, at->first);
+  queries_.erase(at);
+  begin_next();
+}
+
 // Answers now, or once there is something to tell.
 void Engine::tell(Connection& connection, const std::string& id, int page, Ms asked_at) {
   const auto at = queries_.find(id);
@@ -230,12 +262,19 @@
     return connection.write(http("202 Accepted", note_fields(query.script), ""));
   }
   connection.waits = true;
-  host_.after(std::min(query.ready_at - now, asked_at + kNewsWait - now),
-              [this, alive = alive_, key = &connection, id, page, asked_at] {
-                if (!*alive || !connections_.has(key)) return;
-                tell(*key, id, page, asked_at);
-                if (connections_.has(key)) key->more();
-              });
+  query.waits = &connection;
+  host_.after(asked_at + kNewsWait - now, [this, alive = alive_, key = &connection, id, page, asked_at,
+                                           number = query.number] {
+    if (!*alive || !connections_.has(key)) return;
+    const auto query_at = queries_.find(id);
+    if (query_at != queries_.end() &&
+        (query_at->second.waits != key || query_at->second.number != number))
+      return;  // it has been told
+    if (!key->waits) return;
+    if (query_at != queries_.end()) query_at->second.waits = nullptr;
+    tell(*key, id, page, asked_at);
+    if (connections_.has(key)) key->more();
+  });
 }
 
 void Engine::answer(Connection& connection, Query& query, int page) {
@@ -272,12 +311,15 @@
   const Ms now = host_.loop().now();
   for (auto at = queries_.begin(); at != queries_.end();) {
     const Query& q = at->second;
-    const bool unasked = now - std::max(q.asked_at, std::min(q.ready_at, now)) > kUnasked;
+    const bool asked = q.waits && connections_.has(q.waits);
+    const bool unasked = !asked && now - q.asked_at > kUnasked;
     if (unasked && now >= q.ready_at) {
       const std::lock_guard lock(mutex_);
       held_.push_back(now - q.ready_at);
     }
-    at = unasked ? queries_.erase(at) : std::next(at);
+    const auto next = std::next(at);
+    if (unasked) leave(at);
+    at = next;
   }
   host_.after(kUnasked / 4, [this, alive = alive_] {
     if (*alive) forget_unasked();
--- a/src/standin/engine.h
+++ b/src/standin/engine.h
@@ -2,6 +2,7 @@
 // give them up. It runs nothing; what it does with a statement, the statement tells (script.h).
 #pragma once
 
+#include <list>
 #include <map>
 #include <string>
 #include <vector>
@@ -43,13 +44,18 @@
   struct Query {
     std::string statement;
     Script script;
-    Ms ready_at = 0, asked_at = 0;
-    bool noted = false;
+    Ms ready_at = 1e18, asked_at = 0;  // ready: known once it is at work
+    bool noted = false, works = false;
+    Connection* waits = nullptr;  // the call that wants its news
+    uint64_t number = 0;
   };
   void hear(Connection& connection, const Call& call);
   void start(Connection& connection, const Call& call);
   void tell(Connection& connection, const std::string& id, int page, Ms asked_at);
   void answer(Connection& connection, Query& query, int page);
+  void begin(const std::string& id, Query& query);
+  void leave(std::map<std::string, Query>::iterator at);  // forgotten, its slot free
+  void begin_next();
   void forget_unasked();
 
   Host& host_;
@@ -59,7 +65,9 @@
   std::unique_ptr<Listener> listener_;
   Connections<Connection> connections_;
   std::map<std::string, Query> queries_;
-  std::vector<Ms> slots_free_at_;
+  std::list<std::string> line_;  // of queries that wait for a slot
+  int at_work_ = 0;
+  uint64_t last_number_ = 0;
   bool hangs_ = false;
   int reset_next_ = 0;
   std::shared_ptr<bool> alive_;  // for what it has asked the host to do later
--- a/src/standin/gateway.cpp
+++ b/src/standin/gateway.cpp
@@ -125,7 +125,7 @@
   const bool breaks = (s.reset >= 0 || s.cut >= 0) && broken_[statement]++ < s.times;
   std::string out;
   if (s.spoil == "other") id += 1000000;
-  if (s.answer == "shed") {
+  if (s.answer == "shed" && broken_[statement]++ < s.times) {
     const std::string data = s.holdoff.empty() ? "" : fmt::format(R"(,"data":{{"holdoff":{}}})", s.holdoff);
     const std::string text =
         fmt::format(R"({{"jsonrpc":"2.0","id":{},"error":{{"code":-32001,"message":"shed"{}}}}})", id, data);
--- a/src/standin/script.h
+++ b/src/standin/script.h
@@ -19,7 +19,7 @@
   bool silent = false;  // nothing is ever said to it
   int reset = -1;       // bytes of an answer that go out before its connection is reset; below 0: not so
   int cut = -1;         // the same, and then an orderly end
-  int times = 1 << 30;  // that reset or cut happens
+  int times = 1 << 30;  // that reset, cut or shed happens
   int reset_next = 0;   // new connections that are reset as they come up, once a reset or cut has happened
   int spoil_times = 1 << 30;  // that spoil happens
   std::string note;           // NAME:VALUE, told of a query before its rows are ready
--- a/tests/core/core_test.cpp
+++ b/tests/core/core_test.cpp
@@ -152,5 +152,81 @@
   EXPECT_EQ(heard.addresses[2], "127.0.0.1:2");
 }
 
+// ---- Marked repeats -----------------------------------------------------------------------------
+
+struct CoreMarks : CoreTest {
+  TakeIn repeat(CallRef call, const char* id, const char* first, const char* statement = "select 1") {
+    Asked asked;
+    asked.command = id;
+    asked.profile = "quick";
+    asked.first = first;
+    asked.statement = statement;
+    asked.timeout = 4000;
+    asked.estimate = 100;
+    return core.take_in(1000, call, std::move(asked));
+  }
+  static constexpr const char* kFirst = "00000000000000a1";
+  static constexpr const char* kSecond = "00000000000000a2";
+  static constexpr const char* kThird = "00000000000000a3";
+};
+
+TEST_F(CoreMarks, ARepeatOfACommandInHandJoinsItOneRunOneAnswerEach) {
+  list("s-1");
+  take(1, kFirst);
+  core.turn(1000);
+  EXPECT_EQ(repeat(2, kSecond, kFirst), TakeIn::kTaken);
+  core.turn(1010);
+  ASSERT_EQ(heard.started.size(), 1u);
+  EXPECT_EQ(core.unanswered(), 2u);
+  core.ended(1020, heard.started[0].send, Outcome::kOk, "a\n");
+  EXPECT_EQ(heard.finals, (std::vector<std::string>{"answer 1 a\n", "answer 2 a\n"}));
+  EXPECT_EQ(core.unanswered(), 0u);
+}
+
+TEST_F(CoreMarks, TheChainHoldsOverARepeatThatRunsAnew) {
+  list("s-1");
+  EXPECT_EQ(repeat(1, kSecond, kFirst), TakeIn::kTaken);  // the first is not known here
+  core.turn(1000);
+  EXPECT_EQ(repeat(2, kThird, kFirst), TakeIn::kTaken);
+  core.turn(1010);
+  EXPECT_EQ(heard.started.size(), 1u);
+}
+
+TEST_F(CoreMarks, AnotherStatementUnderTheMarkIsAnotherCommand) {
+  list("s-1");
+  take(1, kFirst);
+  core.turn(1000);
+  EXPECT_EQ(repeat(2, kSecond, kFirst, "select 2"), TakeIn::kTaken);
+  core.turn(1010);
+  EXPECT_EQ(heard.started.size(), 2u);
+}
+
+TEST_F(CoreMarks, TheCommandEndsWithTheLastClientThatWaitsForIt) {
+  list("s-1");
+  take(1, kFirst);
+  core.turn(1000);
+  repeat(2, kSecond, kFirst);
+  core.client_gone(1010, 1);
+  core.turn(1010);
+  EXPECT_TRUE(heard.withdrawn.empty());
+  core.client_gone(1020, 2);
+  core.turn(1030);
+  ASSERT_EQ(heard.withdrawn.size(), 1u);
+  core.ended(1040, heard.started[0].send, Outcome::kCancelled);
+  core.turn(1050);
+  EXPECT_TRUE(heard.finals.empty());
+  EXPECT_EQ(core.in_hand(), 0u);
+}
+
+TEST_F(CoreMarks, ARepeatAfterItsFirstWasGivenUpRunsAnew) {
+  list("s-1");
+  take(1, kFirst);
+  core.turn(1000);
+  core.client_gone(1010, 1);
+  EXPECT_EQ(repeat(2, kSecond, kFirst), TakeIn::kTaken);
+  core.turn(1020);
+  EXPECT_EQ(heard.started.size(), 2u);
+}
+
 }  // namespace
 }  // namespace firvalve
--- a/tests/proto/proto_test.cpp
+++ b/tests/proto/proto_test.cpp
@@ -2,10 +2,11 @@
 
 #include "proto/base64.h"
 #include "proto/bus/bus.h"
-#include "proto/store/http.h"
-#include "proto/store/query.h"
+#include "proto/jsonrpc/reply.h"
 #include "proto/jsonrpc/rpc.h"
 #include "proto/statement.h"
+#include "proto/store/http.h"
+#include "proto/store/query.h"
 
 namespace firvalve::proto {
 namespace {
@@ -264,5 +265,68 @@
     EXPECT_EQ(table_group(text), -1) << text;
 }
 
+// ---- The clients' end of JSON-RPC ---------------------------------------------------------------
+
+RpcReply reply_of(std::string text) {
+  text.push_back('x');  // stands for the next message
+  return read_reply({text.data(), text.size() - 1});
+}
+
+TEST(Reply, RowsErrorsAndHeartbeatsAreTold) {
+  RpcReply r = reply_of(R"({"jsonrpc":"2.0","id":7,"result":{"bytes":"YQliCWMK"}})");
+  EXPECT_EQ(r.kind, RpcReply::Kind::kRows);
+  EXPECT_EQ(r.id, 7);
+  EXPECT_EQ(r.rows, "a\tb\tc\n");
+  r = reply_of(R"({"jsonrpc":"2.0","id":7,"error":{"code":-32001,"message":"shed","data":{"holdoff":200}}})");
+  EXPECT_EQ(r.kind, RpcReply::Kind::kShed);
+  EXPECT_EQ(r.holdoff, 200);
+  r = reply_of(R"({"jsonrpc":"2.0","id":null,"error":{"code":-32700,"message":"not JSON"}})");
+  EXPECT_EQ(r.kind, RpcReply::Kind::kFailed);
+  EXPECT_FALSE(r.has_id);
+  r = reply_of(R"({"jsonrpc":"2.0","id":1,"result":{"healthy":true,"marks":true}})");
+  EXPECT_EQ(r.kind, RpcReply::Kind::kHeartbeat);
+  EXPECT_TRUE(r.healthy && r.marks);
+}
+
+TEST(Reply, AdviceThatIsNoTimeIsNone) {
+  for (const char* holdoff : {"0", "-1", "\"200\"", "null", "[]", "true", "1e308"}) {
+    const RpcReply r = reply_of(
+        std::string(R"({"id":1,"error":{"code":-32001,"message":"","data":{"holdoff":)") + holdoff + "}}}");
+    EXPECT_EQ(r.kind, RpcReply::Kind::kShed) << holdoff;
+    EXPECT_TRUE(r.holdoff == 0 || r.holdoff == 1e308) << holdoff;
+  }
+}
+
+TEST(Reply, WhatIsNoAnswerIsUnread) {
+  for (const char* text : {"", "{", "[]", "7", "{}", R"({"id":1})", R"({"id":1,"result":{}})",
+                           R"({"id":1,"result":{"bytes":7}})", R"({"id":1,"result":{"bytes":"a"}})",
+                           R"({"result":{"bytes":""}})", R"({"id":1e999,"result":{"bytes":""}})"})
+    EXPECT_EQ(reply_of(text).kind, RpcReply::Kind::kUnread) << text;
+}
+
+TEST(Reply, WhatAClientWritesAGatewayReads) {
+  std::string out;
+  append_command(out, {5, "a\"b", "select 1", "00000000000000a1", "00000000000000a0", 1500.7, 20, 3});
+  append_revoke(out, 5, "00000000000000a1");
+  append_heartbeat(out, 6);
+  Inbox in;
+  in.add(out);
+  RpcFrames frames;
+  std::span<char> body;
+  ASSERT_EQ(frames.next(in, body), Read::kWhole);
+  RpcCall call = read_call(body);
+  EXPECT_EQ(call.kind, RpcCall::Kind::kCommand);
+  EXPECT_EQ(call.profile, "a\"b");
+  EXPECT_EQ(call.statement, "select 1");
+  EXPECT_EQ(call.first, "00000000000000a0");
+  EXPECT_EQ(call.timeout, 1500);
+  ASSERT_EQ(frames.next(in, body), Read::kWhole);
+  call = read_call(body);
+  EXPECT_EQ(call.kind, RpcCall::Kind::kRevoke);
+  EXPECT_EQ(call.revoked, 5);
+  ASSERT_EQ(frames.next(in, body), Read::kWhole);
+  EXPECT_EQ(read_call(body).kind, RpcCall::Kind::kHeartbeat);
+}
+
 }  // namespace
 }  // namespace firvalve::proto
