--- a/src/client/client.cpp
+++ b/src/client/client.cpp
@@ -145,6 +145,10 @@
 struct Shared {
   Command command;
   Callback callback;
+  // Of a page: the gateway that has it, its token, and which; below 0: a command.
+  int only = -1;
+  std::string token;
+  uint64_t page = 0;
   CallNo no = 0;
   Ms asked_at = 0;
   std::weak_ptr<Driver> driver;
@@ -236,6 +240,11 @@
     }
   }
 
+  int number_of(const std::string& gateway) const {
+    const auto at = std::find(options_.gateways.begin(), options_.gateways.end(), gateway);
+    return at == options_.gateways.end() ? -1 : static_cast<int>(at - options_.gateways.begin());
+  }
+
   Stats stats() const {
     const std::lock_guard lock(mutex_);
     Stats s = stats_;
@@ -314,7 +323,7 @@
     if (p.cancel) return plan_.cancel(at, call.no);
     calls_[call.no] = p.call;
     plan_.call(at, call.no, call.command.profile, call.command.effect == Effect::kReplayable,
-               call.asked_at + call.command.timeout_ms);
+               call.asked_at + call.command.timeout_ms, call.only);
   }
 
   // Decides and carries out until nothing new has come of it.
@@ -374,9 +383,14 @@
     Link& link = at->second;
     const size_t before = link.out.size();
     if (a.kind == PlanAction::Kind::kSend) {
-      const Command& c = calls_.at(a.call)->command;
-      proto::append_command(
-          link.out, {a.id, c.profile, c.statement, a.req, a.first, a.timeout, c.estimate_ms, c.memory_mb});
+      const Shared& call = *calls_.at(a.call);
+      const Command& c = call.command;
+      if (call.only >= 0) {
+        proto::append_page_call(link.out, {a.id, call.token, c.key, call.page});
+      } else {
+        proto::append_command(link.out, {a.id, c.profile, c.statement, a.req, a.first, a.timeout,
+                                         c.estimate_ms, c.memory_mb, c.paged, c.key});
+      }
     } else if (a.kind == PlanAction::Kind::kRevoke) {
       proto::append_revoke(link.out, a.id, a.req);
     } else {
@@ -513,7 +527,15 @@
              : reply.kind == Kind::kHeartbeat ? PlanReply::Kind::kHeartbeat
                                               : PlanReply::Kind::kFailed;
     if (const CallNo ended = plan_.reply(at, no, r))
-      if (reply.kind == Kind::kRows) calls_.at(ended)->result.rows = std::move(reply.rows);
+      if (reply.kind == Kind::kRows || reply.kind == Kind::kFailed) {
+        Result& result = calls_.at(ended)->result;
+        result.rows = std::move(reply.rows);
+        result.token = std::move(reply.token);
+        result.pages = reply.pages;
+        result.all_rows = reply.all_rows;
+        result.gone = reply.code == proto::kRpcGone;
+        result.no_such_page = reply.code == proto::kRpcNoSuchPage;
+      }
     return true;
   }
 
@@ -521,9 +543,9 @@
     const auto at = calls_.find(a.call);
     const SharedPtr call = std::move(at->second);
     calls_.erase(at);
-    Result r;
+    Result r = std::move(call->result);  // what the answer told
     r.outcome = outcome_of(a.end);
-    r.rows = std::move(call->result.rows);
+    if (a.gateway >= 0) r.gateway = options_.gateways[static_cast<size_t>(a.gateway)];
     r.may_have_run = a.may_have_run;
     r.cancelled = a.cancelled;
     r.sends = a.sends;
@@ -676,12 +698,112 @@
   return handle;
 }
 
+Handle Client::page(const std::string& gateway, const std::string& token, uint64_t page, double timeout_ms,
+                    const std::string& key, Callback done) {
+  const int only = driver_->number_of(gateway);
+  if (only < 0) throw std::invalid_argument(fmt::format("gateway \"{}\" is none of this client's", gateway));
+  Handle handle;
+  handle.shared_ = std::make_shared<Shared>();
+  Shared& s = *handle.shared_;
+  s.command = {"page", "page", timeout_ms, 0, 0, Effect::kReplayable, false, key};
+  check(s.command);
+  s.only = only;
+  s.token = token;
+  s.page = page;
+  s.callback = std::move(done);
+  driver_->take(handle.shared_);
+  return handle;
+}
+
 Result Client::call(Command command) { return send(std::move(command)).wait(); }
 
 size_t Client::close(double wait_ms) { return driver_->close(wait_ms); }
 
 Stats Client::stats() const { return driver_->stats(); }
 
+// ---- Pages --------------------------------------------------------------------------------------
+
+Pages::Pages(Client& client, const Result& result, std::string key, Terms terms)
+    : client_(client),
+      gateways_{result.gateway},
+      token_(result.token),
+      key_(std::move(key)),
+      first_(result.rows),
+      has_first_(true),
+      terms_(terms),
+      pages_(result.token.empty() ? 1 : result.pages),
+      asked_(1) {}
+
+Pages::Pages(Client& client, std::vector<std::string> gateways, std::string token, std::string key,
+             uint64_t from, Terms terms)
+    : client_(client),
+      gateways_(std::move(gateways)),
+      token_(std::move(token)),
+      key_(std::move(key)),
+      terms_(terms),
+      at_(std::max<uint64_t>(from, 1) - 1),
+      asked_(at_) {
+  if (gateways_.empty()) throw std::invalid_argument("no gateway to ask for pages");
+}
+
+Pages::~Pages() {
+  for (Handle& h : ahead_) h.cancel();
+}
+
+// Until the number of pages is known, one is asked for at a time.
+void Pages::fill() {
+  const auto ahead = static_cast<size_t>(std::clamp(terms_.ahead, 0, 32));
+  while (ahead_.size() < (pages_ == 0 ? 1 : ahead + 1) && (pages_ == 0 || asked_ < pages_))
+    ahead_.push_back(client_.page(gateways_[gateway_], token_, ++asked_, terms_.page_timeout_ms, key_));
+}
+
+Pages::Next Pages::next(std::string& rows) {
+  if (has_first_) {
+    has_first_ = false;
+    at_ = 1;
+    rows = std::move(first_);
+    if (!token_.empty()) fill();
+    return Next::kPage;
+  }
+  const Ms began = now();
+  for (;;) {
+    if (pages_ > 0 && at_ >= pages_) return Next::kEnd;
+    fill();
+    const Result r = ahead_.front().wait();
+    if (r.outcome == Outcome::kAnswered) {
+      ahead_.erase(ahead_.begin());
+      ++at_;
+      pages_ = r.pages;
+      rows = r.rows;
+      fill();
+      return Next::kPage;
+    }
+    if (r.no_such_page) return Next::kEnd;
+    for (Handle& h : ahead_) h.cancel();
+    ahead_.clear();
+    asked_ = at_;
+    if (r.gone) {
+      // Which gateway has it is not known with the token alone: each is asked once.
+      if (pages_ > 0 || ++gone_at_ >= gateways_.size()) return Next::kGone;
+      gateway_ = (gateway_ + 1) % gateways_.size();
+      continue;
+    }
+    if (now() - began > terms_.give_up_ms) return Next::kFailed;
+    // Nothing was lost but a try. A moment's rest, so that a gateway that refuses at once is not asked in a
+    // loop.
+    const Ms rest = std::clamp(r.come_back_ms, 20.0, 1000.0);
+    std::this_thread::sleep_for(std::chrono::duration<double, std::milli>(rest));
+  }
+}
+
+void Pages::release() {
+  if (token_.empty()) return;
+  for (Handle& h : ahead_) h.cancel();
+  ahead_.clear();
+  client_.page(gateways_[gateway_], token_, 0, terms_.page_timeout_ms, key_).wait();
+  pages_ = at_;
+}
+
 Ping ping(const std::string& gateway, double timeout_ms) {
   const SocketAddress address = address_of(gateway);
   const Ms began = now(), until = began + timeout_ms;
--- a/src/client/client.h
+++ b/src/client/client.h
@@ -46,6 +46,8 @@
   double estimate_ms = 0;  // of its work on one core; 0: not told
   double memory_mb = 0;    // that it will need; 0: not told
   Effect effect = Effect::kNonReplayable;
+  bool paged = false;    // the answer is a token and the first page, where the gateway gives pages; see Pages
+  std::string key = {};  // paged: only who tells the same key reads the pages; empty: the token alone does
 };
 extern const size_t kStatementMost;  // bytes: the longest that a gateway reads
 
@@ -58,6 +60,12 @@
   double took_ms = 0;       // from call() or send()
   double come_back_ms = 0;  // refused: earlier is useless; 0: nothing is known
   std::string why;          // a few words for a log; empty when answered
+  std::string gateway;      // that answered, refused or failed it; empty: none did
+  // Of a paged command. No token: the gateway gives no pages, and `rows` are all.
+  std::string token;
+  uint64_t pages = 0, all_rows = 0;
+  bool gone = false;          // of a page: the result is not, or no longer, there
+  bool no_such_page = false;  // of a page: past the last
 };
 using Callback = std::function<void(const Result&)>;
 
@@ -147,6 +155,11 @@
   // The same, and waits for its end. The rows are the caller's.
   Result call(Command command);
 
+  // Asks for page `page` (from 1) of a paged result at the gateway that has it, or gives the result up with
+  // 0. Harmless to ask again. Throws std::invalid_argument for a gateway that is none of the client's.
+  Handle page(const std::string& gateway, const std::string& token, uint64_t page, double timeout_ms,
+              const std::string& key = {}, Callback done = {});
+
   // No call is taken any more; waits up to so long for those open, then cancels the rest and waits for their
   // end. Called from within a callback it does not wait. Gives how many were cancelled.
   size_t close(double wait_ms);
@@ -157,6 +170,43 @@
   std::shared_ptr<Driver> driver_;
 };
 
+// Reads a paged result to its end, some pages ahead of the reader, over whatever connections there are. One
+// thread at a time. The client must outlive it.
+class Pages {
+ public:
+  struct Terms {
+    int ahead = 4;                  // pages asked for beyond the one wanted, 0 to 32
+    double page_timeout_ms = 5000;  // of one page, on one try
+    double give_up_ms = 120000;     // without any page, through outages: then next() gives kFailed
+  };
+  // After a paged command was answered.
+  Pages(Client& client, const Result& result, std::string key, Terms terms);
+  // With the token alone, from page `from` on; `gateways` are asked in turn which of them has it.
+  Pages(Client& client, std::vector<std::string> gateways, std::string token, std::string key, uint64_t from,
+        Terms terms);
+  ~Pages();
+
+  enum class Next { kPage, kEnd, kGone, kFailed };
+  // The next page's rows; blocks. kGone: the lease is over, or it was released, evicted or lost. kFailed: no
+  // gateway answered within give_up_ms; next() may be called again.
+  Next next(std::string& rows);
+  void release();                            // the gateway may forget it; reading is over
+  uint64_t at() const { return at_; }        // the last page given; 0: none yet
+  uint64_t pages() const { return pages_; }  // 0: not known yet
+
+ private:
+  void fill();
+
+  Client& client_;
+  std::vector<std::string> gateways_;
+  std::string token_, key_, first_;
+  bool has_first_ = false;
+  Terms terms_;
+  uint64_t at_ = 0, pages_ = 0, asked_ = 0;
+  size_t gateway_ = 0, gone_at_ = 0;
+  std::vector<Handle> ahead_;
+};
+
 // Asks one gateway for a heartbeat, over a connection of its own, and blocks for at most `timeout_ms`.
 // Throws std::invalid_argument where the address can't be read.
 struct Ping {
--- a/src/client/plan.cpp
+++ b/src/client/plan.cpp
@@ -103,6 +103,7 @@
   a.cancelled = cancelled;
   a.may_have_run = c.may_have_run;
   a.sends = c.sends;
+  a.gateway = c.gateway;
   a.come_back = come_back;
   a.text = std::move(why);
   pending_.push_back(std::move(a));
@@ -128,11 +129,13 @@
 
 // ---- Again, or not ------------------------------------------------------------------------------
 
-Ms Plan::usable_at(Ms now, int profile) const {
+Ms Plan::usable_at(Ms now, const Call& c) const {
   Ms soonest = 1e18;
-  for (const Gateway& g : gateways_) {
+  for (size_t i = 0; i < gateways_.size(); ++i) {
+    if (c.only >= 0 && static_cast<int>(i) != c.only) continue;
+    const Gateway& g = gateways_[i];
     Ms at = g.standing.phase() == Standing::Phase::kLeft ? std::max(now, g.standing.try_at()) : now;
-    if (const auto away = g.away_until.find(profile); away != g.away_until.end())
+    if (const auto away = g.away_until.find(c.profile); away != g.away_until.end())
       at = std::max(at, away->second);
     soonest = std::min(soonest, at);
   }
@@ -144,7 +147,7 @@
 bool Plan::again(Ms now, CallMap::iterator at, Ms from) {
   Call& c = at->second;
   if (c.sends >= terms_.sends_most) return false;
-  if (std::max(from, usable_at(now, c.profile)) + kLeastUseful >= c.deadline) return false;
+  if (std::max(from, usable_at(now, c)) + kLeastUseful >= c.deadline) return false;
   if (c.free_repeat) {
     to_line(c, at->first, true);
     return true;
@@ -161,13 +164,13 @@
   if (again(now, at, from)) return;
   const Call& c = at->second;
   if (c.may_have_run) return finish(now, at, End::kUnknown, false, 0, why);
-  const Ms usable = usable_at(now, c.profile);
+  const Ms usable = usable_at(now, c);
   finish(now, at, End::kRefused, false, usable > now ? usable - now : 0, why);
 }
 
 // ---- Events -------------------------------------------------------------------------------------
 
-void Plan::call(Ms now, CallNo no, const std::string& profile, bool replayable, Ms deadline) {
+void Plan::call(Ms now, CallNo no, const std::string& profile, bool replayable, Ms deadline, int only) {
   ++stats_.calls;
   asked_at_ = now;
   const auto at = calls_.try_emplace(no).first;
@@ -175,6 +178,7 @@
   c.place = Place::kNone;
   c.replayable = replayable;
   c.deadline = deadline;
+  c.only = only;
   c.profile = profile_of(profile);
   deadlines_.insert({deadline, no});
   if (c.profile < 0) return finish(now, at, End::kRefused, false, 0, "too many profiles");
@@ -185,7 +189,7 @@
     throttle.stopped(now);
     return finish(now, at, End::kRefused, false, terms_.backoff_most * draw(), "most calls are refused");
   }
-  const Ms usable = usable_at(now, c.profile);
+  const Ms usable = usable_at(now, c);
   if (usable > now && usable + kLeastUseful >= deadline)
     return finish(now, at, End::kRefused, false, usable - now, "no gateway within the time given");
   to_line(c, no, false);
@@ -425,9 +429,9 @@
     // What may run twice goes elsewhere, if there is an elsewhere; the rest waits for what may still come.
     std::vector<CallNo> movable;
     for (const auto& [id, call] : l.open)
-      if (const Call& c = calls_.at(call);
-          c.replayable && usable_at(now, c.profile) + kLeastUseful < c.deadline &&
-          c.sends < terms_.sends_most && budget_.may_repeat(now, reserved_ + movable.size()))
+      if (const Call& c = calls_.at(call); c.replayable && usable_at(now, c) + kLeastUseful < c.deadline &&
+                                           c.sends < terms_.sends_most &&
+                                           budget_.may_repeat(now, reserved_ + movable.size()))
         movable.push_back(call);
     for (const CallNo call : movable) {
       const auto at = calls_.find(call);
@@ -477,18 +481,16 @@
 void Plan::refuse_hopeless(Ms now) {
   if (!hopeless_look_) return;
   hopeless_look_ = false;
-  std::vector<Ms> usable;
-  for (size_t p = 0; p < lines_.size(); ++p) usable.push_back(usable_at(now, static_cast<int>(p)));
   std::vector<CallNo> hopeless;
   for (const auto& [no, c] : calls_) {
-    const Ms at = usable[static_cast<size_t>(c.profile)];
+    const Ms at = usable_at(now, c);
     if (c.place != Place::kOut && at > now && at + kLeastUseful >= c.deadline) hopeless.push_back(no);
   }
   std::sort(hopeless.begin(), hopeless.end());
   for (const CallNo no : hopeless) {
     const auto at = calls_.find(no);
     const Call& c = at->second;
-    const Ms back = usable[static_cast<size_t>(c.profile)] - now;
+    const Ms back = usable_at(now, c) - now;
     if (c.may_have_run)
       finish(now, at, End::kUnknown, false, 0, "no gateway within the time left");
     else
@@ -524,11 +526,12 @@
 }
 
 // The better of two drawn among the gateways that are well and not to be stayed away from; -1: none is.
-int Plan::choose(Ms now, int profile, int& other) {
+int Plan::choose(Ms now, const Call& c, int& other) {
   std::vector<int> usable;
   for (size_t i = 0; i < gateways_.size(); ++i) {
     const Gateway& g = gateways_[i];
-    const auto away = g.away_until.find(profile);
+    const auto away = g.away_until.find(c.profile);
+    if (c.only >= 0 && static_cast<int>(i) != c.only) continue;
     if (g.standing.well() && (away == g.away_until.end() || now >= away->second))
       usable.push_back(static_cast<int>(i));
   }
@@ -599,11 +602,13 @@
     return true;
   }
   int other = -1;
-  const int gateway = choose(now, profile, other);
+  const int gateway = choose(now, c, other);
   if (gateway < 0) {
     // Those that are well want to be left alone: behind that, each call at a moment of its own.
     Ms until = 1e18;
-    for (const Gateway& g : gateways_) {
+    for (size_t i = 0; i < gateways_.size(); ++i) {
+      if (c.only >= 0 && static_cast<int>(i) != c.only) continue;
+      const Gateway& g = gateways_[i];
       const auto away = g.away_until.find(profile);
       if (g.standing.well() && away != g.away_until.end()) until = std::min(until, away->second);
     }
--- a/src/client/plan.h
+++ b/src/client/plan.h
@@ -47,8 +47,8 @@
   Ms backoff = 50, backoff_most = 2000;  // full jitter over it, doubled with each send
   Ms holdoff_most = 30000;               // longer advice is cut to it
   Ms connect = 1000;                     // until a connection must be up
-  Ms silence = 1000;  // without a byte while calls are open: asked for a heartbeat, then left
-  Ms idle = 3500;     // a connection that rests is closed, before the gateway would
+  Ms silence = 1000;          // without a byte while calls are open: asked for a heartbeat, then left
+  Ms idle = 3500;             // a connection that rests is closed, before the gateway would
   Ms throttle_window = 3000;  // after an overload, what is sent doubles in less than it
   bool marks = true;
   SpreadTerms spread;
@@ -93,8 +93,8 @@
  public:
   explicit Plan(const PlanTerms& terms);
 
-  // Events. `replayable`: it may run twice.
-  void call(Ms now, CallNo call, const std::string& profile, bool replayable, Ms deadline);
+  // Events. `replayable`: it may run twice. `only`: the one gateway that it is for; below 0: any.
+  void call(Ms now, CallNo call, const std::string& profile, bool replayable, Ms deadline, int only = -1);
   void cancel(Ms now, CallNo call);
   void link_up(Ms now, LinkNo link);
   // `unsent`: numbers of the calls whose message was not wholly handed to the system.
@@ -113,7 +113,7 @@
  private:
   enum class Place { kNone, kParked, kLine, kOut };
   struct Call {
-    int profile = 0;
+    int profile = 0, only = -1;
     bool replayable = false, may_have_run = false, crossed = false;
     bool free_repeat = false;  // the next send is not counted against the budget: a crossing
     bool reserved = false;     // the next send is a repeat with a place in the budget
@@ -170,7 +170,7 @@
   void try_left(Ms now);
   void place_calls(Ms now);
   bool place_one(Ms now, Line& line, int profile);
-  int choose(Ms now, int profile, int& other);
+  int choose(Ms now, const Call& c, int& other);
   double score(const Gateway& g) const;
   LinkNo room_on(int gateway) const;
   bool may_open(Ms now, int gateway) const;
@@ -178,7 +178,7 @@
   void send(Ms now, CallNo no, Call& c, LinkNo link);
   void ask_heartbeat(Ms now, LinkNo no, Link& link);
   void refuse_hopeless(Ms now);
-  Ms usable_at(Ms now, int profile) const;
+  Ms usable_at(Ms now, const Call& c) const;
   bool wanted(Ms now) const;
 
   PlanTerms terms_;
--- a/src/config/operator.h
+++ b/src/config/operator.h
@@ -15,6 +15,17 @@
   struct Clients {
     bool marks = false;  // read marks of repeats, and join a repeat to what it repeats
   } clients;
+  struct Spool {
+    bool on = false;                // paged results for clients that ask for them
+    double memory_mb = 8;           // for pages in memory
+    std::string folder;             // for segment files; empty: memory alone
+    double disk_mb = 256;           // for pages on disk, where a folder is named
+    double lease_s = 60;            // since its last read, a result is kept
+    double result_mb = 64;          // of one result
+    double page_kb = 6;             // of an engine's page
+    double first_expected_kb = 64;  // of a result of which nothing is known
+    double results = 10000;         // kept at once
+  } spool;
 };
 
 struct Fault {
--- a/src/core/core.cpp
+++ b/src/core/core.cpp
@@ -3,6 +3,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <utility>
 
 #include "core/articles.h"
 
@@ -60,6 +61,7 @@
 }
 
 void Core::hear_now(Ms now, const Event& event) {
+  now_ = now;
   hear(state_, now, event);
   heard_ = true;
 }
@@ -74,6 +76,11 @@
     return TakeIn::kOutOfRange;
   const int number_of_profile = static_cast<int>(profile - profiles_.begin());
   if (!asked.first.empty() && join(call, asked, number_of_profile)) return TakeIn::kTaken;
+  const bool paged = asked.paged && shelf_;
+  if (paged && !asked.first.empty()) {
+    const Shelf::Wish wish{asked.owner, asked.key, asked.profile, asked.statement, asked.first, asked.tables};
+    if ((found_ = shelf_->find(now, wish)) != 0) return TakeIn::kFound;
+  }
   if (held_bytes_ + asked.statement.size() > most_held_) return TakeIn::kNoRoom;
   const CommandId id = command_id(asked.command);
   const auto [at, added] = held_.try_emplace(id.text);
@@ -97,9 +104,61 @@
   t.tables = asked.tables;
   t.repeat = !asked.first.empty();
   hear_now(now, t);
+  if (paged) {
+    h.paged = true;
+    h.owner = asked.owner;
+    h.key = asked.key;
+    h.tables = asked.tables;
+    if (!seek_place(now, at)) {
+      placeless_.push_back(id.text);
+      hear_now(now, Place{id, false});
+    }
+  }
   return TakeIn::kTaken;
 }
 
+Shelf::Wish Core::wish_of(const Held& h) const {
+  return {h.owner, h.key, profiles_[static_cast<size_t>(h.profile)], h.statement, view(h.chain), h.tables};
+}
+
+bool Core::seek_place(Ms now, HeldMap::iterator at) {
+  at->second.place = shelf_->reserve(now, wish_of(at->second));
+  return at->second.place != 0;
+}
+
+// In the order taken. One whose owner has no room leaves the turn to those behind it.
+void Core::room(Ms now) {
+  std::erase_if(placeless_, [&](const Id& id) {
+    const auto at = held_.find(id);
+    if (at == held_.end() || at->second.call == 0) return true;
+    if (!seek_place(now, at)) return false;
+    hear_now(now, Place{CommandId{id}, true});
+    return true;
+  });
+}
+
+Shelf::Put Core::page(Ms now, uint64_t send, std::string_view rows) {
+  const auto at = sends_.find(send);
+  if (at == sends_.end()) return Shelf::Put::kOutgrown;
+  const auto h = held_.find(at->second);
+  if (h->second.place == 0) return Shelf::Put::kOutgrown;
+  const Shelf::Put put = shelf_->page(now, h->second.place, rows);
+  if (put == Shelf::Put::kOutgrown) {
+    h->second.place = 0;
+    give_up(now, h, "the result has outgrown the spool");
+  }
+  return put;
+}
+
+// Its clients hear so, and the module gives up what is out.
+void Core::give_up(Ms now, HeldMap::iterator at, std::string_view why) {
+  counters_.add("failed", profiles_[static_cast<size_t>(at->second.profile)]);
+  tell(at->second, [&](CallRef call) { front_.fail(call, why); });
+  const CommandId id{at->first};
+  finish(at);
+  hear_now(now, ClientGone{id});
+}
+
 // Guards against a second run of what is still in hand, when a client lost sight of it and says it again: it
 // runs once and each call gets the answer. Only the same statement of the same profile is the same command;
 // whoever can name both and the id could have read the answer anyway.
@@ -109,6 +168,7 @@
   const auto at = held_.find(repeat != chains_.end() ? repeat->second : chain);
   if (at == held_.end() || at->second.call == 0) return false;
   if (at->second.profile != profile || at->second.statement != asked.statement) return false;
+  if (at->second.paged != (asked.paged && shelf_) || at->second.key != asked.key) return false;
   at->second.joined.push_back(call);
   calls_[call] = at->first;
   counters_.add("joined", profiles_[static_cast<size_t>(profile)]);
@@ -142,6 +202,7 @@
   tell(at->second, [&](CallRef call) { calls_.erase(call); });
   at->second.call = 0;
   at->second.joined.clear();
+  if (at->second.place != 0) shelf_->drop(now_, std::exchange(at->second.place, 0));
   if (const auto chain = chains_.find(at->second.chain); chain != chains_.end() && chain->second == at->first)
     chains_.erase(chain);
   if (at->second.send == 0) erase(at);
@@ -217,12 +278,20 @@
   h->second.send = 0;
   if (outcome == Outcome::kOk && h->second.call != 0) {
     counters_.add("answered", profiles_[static_cast<size_t>(h->second.profile)]);
-    tell(h->second, [&](CallRef call) { front_.answer(call, rows); });
+    if (h->second.paged) {
+      shelf_->whole(now, h->second.place);
+      tell(h->second, [&](CallRef call) { front_.answer_paged(call, h->second.place); });
+      h->second.place = 0;  // the shelf's own from here on
+    } else {
+      tell(h->second, [&](CallRef call) { front_.answer(call, rows); });
+    }
     finish(h);
     s.finished = true;
   } else if (h->second.call == 0) {
     s.finished = true;
     erase(h);
+  } else if (h->second.place != 0) {
+    shelf_->clear(now, h->second.place);  // nothing of it has been given out: another send may make it anew
   }
   hear_now(now, s);
 }
@@ -282,7 +351,8 @@
       h.overdue = false;
       sends_[h.send] = at->first;
       look_at_ = sooner(look_at_, h.gives_up_at);
-      back_.start(now, {h.send, a.engine, view(at->first), profile, h.statement, h.gives_up_at, h.priority});
+      back_.start(
+          now, {h.send, a.engine, view(at->first), profile, h.statement, h.gives_up_at, h.priority, h.paged});
       break;
     }
     case Action::Kind::kWithdraw:
@@ -298,7 +368,7 @@
     case Action::Kind::kFail:
       counters_.add(a.kind == Action::Kind::kShed ? "shed" : "failed", profile);
       tell(h, [&](CallRef call) {
-        a.kind == Action::Kind::kShed ? front_.shed(call, a.wait) : front_.fail(call);
+        a.kind == Action::Kind::kShed ? front_.shed(call, a.wait) : front_.fail(call, "failed");
       });
       if (h.call != 0) finish(at);
       break;
--- a/src/core/core.h
+++ b/src/core/core.h
@@ -9,6 +9,7 @@
 #include <string_view>
 #include <vector>
 
+#include "core/shelf.h"
 #include "policy/rules.h"
 
 namespace firvalve {
@@ -22,7 +23,8 @@
   virtual ~Front() = default;
   virtual void answer(CallRef call, std::string_view rows) = 0;
   virtual void shed(CallRef call, Ms advice) = 0;  // advice 0: none
-  virtual void fail(CallRef call) = 0;
+  virtual void fail(CallRef call, std::string_view why) = 0;
+  virtual void answer_paged(CallRef call, ShelfNo no) = 0;  // its result lies on the shelf
 };
 
 // One send, as the back needs it. The views are good until the send has ended.
@@ -31,7 +33,8 @@
   uint32_t engine = 0;
   std::string_view command, profile, statement;
   Ms until = 0;
-  int priority = -1;  // below 0: the engine's own choice
+  int priority = -1;   // below 0: the engine's own choice
+  bool paged = false;  // its rows go to Core::page() as they come, not to Core::ended()
 };
 
 // What carries sends to engines. Each send started ends once, by Core::ended, never within one of these
@@ -53,6 +56,8 @@
   int64_t tables = -1;
   Ms timeout = 0, estimate = 0;
   double memory_mb = 0;
+  bool paged = false;                     // asked for as pages
+  std::string_view owner = {}, key = {};  // whose share it is; what its pages are bound to, empty: nothing
   std::string_view first = {};  // marked as a repeat: the id of its chain's first command; empty: no mark
 };
 
@@ -63,7 +68,8 @@
 // The sooner of two moments, where 0 is none.
 inline Ms sooner(Ms a, Ms b) { return a == 0 || (b > 0 && b < a) ? b : a; }
 
-enum class TakeIn { kTaken, kUnknownProfile, kNotNew, kOutOfRange, kNoRoom };
+// kFound: nothing is to run, its result lies on the shelf.
+enum class TakeIn { kTaken, kUnknownProfile, kNotNew, kOutOfRange, kNoRoom, kFound };
 
 Ms longest_timeout(const Articles& articles);  // of any profile's clients; 0: not told
 
@@ -84,11 +90,17 @@
        std::function<void(const std::string&)> log);
 
   void limit(size_t bytes) { most_held_ = bytes; }  // of statements in hand
+  void shelve(Shelf& shelf) { shelf_ = &shelf; }    // without one there are no paged answers
+  bool shelves() const { return shelf_ != nullptr; }
+  ShelfNo found() const { return found_; }  // after kFound
+  void room(Ms now);                        // the shelf may have a place again
   TakeIn take_in(Ms now, CallRef call, Asked&& asked);
   void client_gone(Ms now, CallRef call);           // revoked, or its connection ended
   CallRef call_of(std::string_view command) const;  // 0: not in hand
   void roster(Ms now, bool full, std::vector<NamedListing> listings);
   void noted(Ms now, uint64_t send, NoteKind kind, double value);
+  // Rows of a paged send, a page more.
+  Shelf::Put page(Ms now, uint64_t send, std::string_view rows);
   void ended(Ms now, uint64_t send, Outcome outcome, std::string rows = {});
 
   // This gateway ends at that moment: until then everything taken in gets its answer.
@@ -117,6 +129,11 @@
     uint64_t send = 0;  // out now; 0: none
     Ms gives_up_at = 0, sent_at = 0;
     bool overdue = false;
+    // Of a paged one: its place on the shelf, 0: it waits for one, and what the place is asked for with.
+    bool paged = false;
+    ShelfNo place = 0;
+    std::string owner, key;
+    int64_t tables = -1;
   };
   using HeldMap = std::map<Id, Held>;
 
@@ -125,6 +142,9 @@
   void carry_out(Ms now, const Action& action);
   void erase(HeldMap::iterator at);
   void finish(HeldMap::iterator at);  // answered: it stays for as long as a send is out
+  bool seek_place(Ms now, HeldMap::iterator at);
+  Shelf::Wish wish_of(const Held& h) const;
+  void give_up(Ms now, HeldMap::iterator at, std::string_view why);
   bool join(CallRef call, const Asked& asked, int profile);
   template <class Tell>
   void tell(const Held& h, Tell&& one) {  // each call that waits for it
@@ -143,7 +163,10 @@
   std::map<CallRef, Id> calls_;
   std::map<Id, Id> chains_;  // of those marked with another's id, while a client waits: the one in hand
   std::map<uint64_t, Id> sends_;
-  std::vector<Id> done_;  // held until the next decisions alone
+  Shelf* shelf_ = nullptr;
+  ShelfNo found_ = 0;
+  std::vector<Id> placeless_;  // paged ones that wait for a place, in the order taken
+  std::vector<Id> done_;       // held until the next decisions alone
   std::map<std::string, uint32_t> numbers_;
   std::map<uint32_t, std::string> listed_;  // names by number, of engines not gone
   std::map<Ms, uint64_t> bells_;
@@ -153,6 +176,7 @@
   Ms most_estimate_ = 0;
   double most_memory_mb_ = 0;
   size_t most_held_ = SIZE_MAX, held_bytes_ = 0;
+  Ms now_ = 0;  // of the last event
   Ms decided_at_ = 0, closes_at_ = 0;
   Ms look_at_ = 0;     // no send out ends by its client's patience before; 0: none is out
   bool heard_ = true;  // at start the module is asked once
--- a/src/gateway/call.cpp
+++ b/src/gateway/call.cpp
@@ -3,6 +3,7 @@
 #include <fmt/format.h>
 #include <rapidjson/stringbuffer.h>
 #include <rapidjson/writer.h>
+#include <unistd.h>
 
 #include <algorithm>
 #include <array>
@@ -30,6 +31,9 @@
   int count = 1;
   double rate = 0;  // a second; 0: as fast as they end, one after the other
   bool json = false, quiet = false;
+  // Paged:
+  std::string out, resume;
+  uint64_t from = 1;
 };
 
 int exit_of(Outcome outcome, bool may_have_run) {
@@ -111,6 +115,60 @@
   std::fprintf(stderr, "%s\n", line.c_str());
 }
 
+// Reads pages into a file, or to standard output.
+int run_pages(const CallOptions& o, client::Pages& pages) {
+  std::FILE* const file = o.out.empty() ? stdout : std::fopen(o.out.c_str(), o.from > 1 ? "ab" : "wb");
+  if (!file) {
+    std::fprintf(stderr, "firvalve call: %s cannot be written\n", o.out.c_str());
+    return kExitUsage;
+  }
+  const bool progress = !o.quiet && ::isatty(STDERR_FILENO) && !o.out.empty();
+  std::string rows;
+  using Next = client::Pages::Next;
+  Next next;
+  while ((next = pages.next(rows)) == Next::kPage) {
+    if (std::fwrite(rows.data(), 1, rows.size(), file) != rows.size()) {
+      std::fprintf(stderr, "firvalve call: %s cannot be written; page %llu is the last whole one\n",
+                   o.out.c_str(), static_cast<unsigned long long>(pages.at() - 1));
+      next = Next::kFailed;
+      break;
+    }
+    if (progress)
+      std::fprintf(stderr, "\rpage %llu of %llu", static_cast<unsigned long long>(pages.at()),
+                   static_cast<unsigned long long>(pages.pages()));
+  }
+  if (progress) std::fputc('\n', stderr);
+  if ((o.out.empty() ? std::fflush(file) : std::fclose(file)) != 0) next = Next::kFailed;
+  if (next == Next::kEnd) {
+    pages.release();
+    return kExitAnswered;
+  }
+  if (!o.quiet)
+    std::fprintf(stderr, "firvalve call: %s after page %llu\n",
+                 next == Next::kGone ? "the result is gone" : "no gateway answered",
+                 static_cast<unsigned long long>(pages.at()));
+  return kExitFailed;
+}
+
+int run_paged(const CallOptions& o) {
+  client::Client client(o.client);
+  if (!o.resume.empty()) {
+    client::Pages pages(client, o.client.gateways, o.resume, o.command.key, o.from, {});
+    return run_pages(o, pages);
+  }
+  const client::Result r = client.call(o.command);
+  if (r.outcome != Outcome::kAnswered) {
+    if (!o.quiet) tell(r);
+    return exit_of(r.outcome, r.may_have_run);
+  }
+  if (!o.quiet && !r.token.empty())
+    std::fprintf(stderr, "firvalve call: token %s at %s, %llu pages, %llu rows\n", r.token.c_str(),
+                 r.gateway.c_str(), static_cast<unsigned long long>(r.pages),
+                 static_cast<unsigned long long>(r.all_rows));
+  client::Pages pages(client, r, o.command.key, {});
+  return run_pages(o, pages);
+}
+
 int run_call(const CallOptions& o) {
   using Clock = std::chrono::steady_clock;
   client::Options options = o.client;
@@ -160,7 +218,7 @@
   call->add_option("--gateway", o->client.gateways, "HOST:PORT, several with commas")
       ->required()
       ->delimiter(',');
-  call->add_option("--profile", o->command.profile, "the class of query")->required();
+  call->add_option("--profile", o->command.profile, "the class of query");
   call->add_option("--timeout", o->command.timeout_ms, "ms for the whole of it")->capture_default_str();
   call->add_option("--estimate", o->command.estimate_ms, "ms of work on one core");
   call->add_option("--memory", o->command.memory_mb, "MB that it will need");
@@ -174,7 +232,14 @@
   call->add_option("--seed", o->client.seed, "of its random draws; 0: from the system");
   call->add_flag("--json", o->json, "one line of JSON on standard output in place of rows");
   call->add_flag("--quiet", o->quiet, "nothing on standard error");
-  call->add_option("statement", o->command.statement, "what is to be run")->required();
+  call->add_flag("--paged", o->command.paged,
+                 "as pages, where the gateway gives them; the token goes to standard error");
+  call->add_option("--out", o->out, "write the rows of --paged or --resume to this file");
+  call->add_option("--key", o->command.key, "bind the pages to this key");
+  call->add_option("--resume", o->resume, "read on with this token; no statement is sent");
+  call->add_option("--from", o->from, "with --resume: the first page; the file is added to from 2 on")
+      ->check(CLI::Range(uint64_t{1}, uint64_t{1} << 40));
+  call->add_option("statement", o->command.statement, "what is to be run");
   call->footer(
       "Exit: 0 answered, 2 usage, 3 refused (it never ran), 4 failed, 5 unknown (it may have run).\n"
       "With --count the worst of them.");
@@ -182,7 +247,7 @@
     o->command.effect =
         o->effect == "replayable" ? client::Effect::kReplayable : client::Effect::kNonReplayable;
     try {
-      exit_code = run_call(*o);
+      exit_code = o->command.paged || !o->resume.empty() ? run_paged(*o) : run_call(*o);
     } catch (const std::invalid_argument& e) {
       std::fprintf(stderr, "firvalve call: %s\n", e.what());
       exit_code = kExitUsage;
--- a/src/gateway/serve.cpp
+++ b/src/gateway/serve.cpp
@@ -1,11 +1,15 @@
 #include "gateway/serve.h"
 
+#include <Poco/Net/StreamSocketImpl.h>
 #include <fmt/format.h>
 #include <signal.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include <cstdlib>
 #include <fstream>
 #include <iostream>
+#include <random>
 #include <sstream>
 
 #include "config/operator.h"
@@ -15,6 +19,7 @@
 #include "net/engines.h"
 #include "net/signals.h"
 #include "proto/term.h"
+#include "spool/spool.h"
 
 namespace firvalve {
 namespace {
@@ -100,6 +105,63 @@
   throw Unusable(config::line_of(file, reading.faults.front()));
 }
 
+// A byte from another thread turns the loop: what the files have done is looked at in the turn that follows.
+class Waker : public net::Link {
+ public:
+  static std::unique_ptr<Waker> make(net::Loop& loop) {
+    int ends[2];
+    if (::socketpair(AF_UNIX, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0, ends) != 0)
+      throw Unusable("no descriptor left");
+    return std::unique_ptr<Waker>(new Waker(loop, ends));
+  }
+  ~Waker() override { ::close(write_end_); }
+  void wake() {
+    const char byte = 1;
+    [[maybe_unused]] const ssize_t n = ::send(write_end_, &byte, 1, MSG_NOSIGNAL | MSG_DONTWAIT);
+  }
+
+ protected:
+  void on_bytes() override { inbox_.used(inbox_.text().size()); }
+  void on_end(End) override {}
+
+ private:
+  Waker(net::Loop& loop, const int (&ends)[2])
+      : Link(loop, Poco::Net::StreamSocket(new Poco::Net::StreamSocketImpl(ends[0])), Kind::kLocal),
+        write_end_(ends[1]) {}
+  const int write_end_;
+};
+
+// The spool with its files, where the operator wants them. The files end before the waker that they ring.
+struct Shelving {
+  Shelving(const config::Operator::Spool& wish, net::Loop& loop, Counters& counters) {
+    if (!wish.on) return;
+    spool::SpoolTerms terms;
+    terms.keeping.memory = wish.memory_mb * 1e6;
+    terms.keeping.disk = wish.folder.empty() ? 0 : wish.disk_mb * 1e6;
+    terms.keeping.result_most = wish.result_mb * 1e6;
+    terms.keeping.lease = wish.lease_s * 1000;
+    terms.keeping.results_most = static_cast<size_t>(wish.results);
+    terms.first_expected = wish.first_expected_kb * 1000;
+    terms.backlog_most = terms.keeping.memory / 4;
+    std::random_device device;
+    const uint64_t life = (static_cast<uint64_t>(device()) << 32) | device();
+    spool = std::make_unique<spool::Spool>(terms, life,
+                                           [&counters](std::string_view what) { counters.add(what); });
+    if (wish.folder.empty()) return;
+    waker = Waker::make(loop);
+    files = std::make_unique<spool::Files>(spool::Files::Terms{wish.folder}, loop.now(),
+                                           [w = waker.get()] { w->wake(); });
+    if (files->cut + files->broken > 0)
+      log(fmt::format("spool: {} torn tails cut off, {} results with broken pages left out", files->cut,
+                      files->broken));
+    spool->use(loop.now(), *files, files->found);
+    files->found.clear();
+  }
+  std::unique_ptr<Waker> waker;
+  std::unique_ptr<spool::Files> files;
+  std::unique_ptr<spool::Spool> spool;
+};
+
 }  // namespace
 
 int serve(const std::string& operator_file) {
@@ -117,6 +179,15 @@
   Core core(articles, told.seed, clients, engines, counters, log);
   core.limit(static_cast<size_t>(kStatementPart * bytes));
   engines.serve(core);
+  Shelving shelving(wishes.spool, loop, counters);
+  if (wishes.spool.on) {
+    const double kb = 1000, mb = 1e6;
+    engines.size({static_cast<size_t>(wishes.spool.page_kb * kb),
+                  static_cast<size_t>(wishes.spool.result_mb * mb), true});
+    core.shelve(*shelving.spool);
+    clients.read_pages(*shelving.spool);
+    shelving.spool->on_room = [&core](Ms now) { core.room(now); };
+  }
   net::Bus bus(loop, counters, told.bus, connect);
 
   for (proto::BusEvent& event : told.known) net::tell_roster(core, loop.now(), std::move(event));
@@ -144,12 +215,16 @@
   loop.on_turn = [&](Ms now) {
     bus.due(now);
     engines.due(now);
+    if (shelving.spool) shelving.spool->due(now);
     clients.due(now);
     core.turn(now);
-    if (ended_at > 0 && now >= ended_at + proto::kComingOn && core.unanswered() == 0 && clients.unsent() == 0)
+    if (ended_at > 0 && now >= ended_at + proto::kComingOn && core.unanswered() == 0 &&
+        clients.unsent() == 0 && (!shelving.spool || shelving.spool->settled()))
       loop.stop();
     if (ended_at > 0) return now + kEndLook;
-    return sooner(sooner(bus.next_due(), clients.next_due()), sooner(engines.next_due(), core.next_due()));
+    const Ms spooled = shelving.spool ? shelving.spool->next_due() : 0;
+    return sooner(spooled, sooner(sooner(bus.next_due(), clients.next_due()),
+                                  sooner(engines.next_due(), core.next_due())));
   };
   loop.run();
   log(counters.text());
--- a/src/net/clients.cpp
+++ b/src/net/clients.cpp
@@ -22,7 +22,9 @@
 class Clients::Connection : public Link {
  public:
   Connection(Clients& owner, const StreamSocket& socket)
-      : Link(owner.loop_, socket, Kind::kClient), owner_(owner), since_(loop_.now()) {}
+      : Link(owner.loop_, socket, Kind::kClient), owner_(owner), since_(loop_.now()) {
+    if (owner.shelf_) peer_ = socket.peerAddress().host().toString();
+  }
 
   std::map<int64_t, CallRef> open_calls;
   bool peer_done = false;
@@ -109,6 +111,7 @@
   void hear(std::span<char> body);
   Clients& owner_;
   proto::RpcFrames frames_;
+  std::string peer_;     // the client's address, where results count against somebody's share
   bool spoken_ = false;  // a whole message has come
   Ms since_ = 0;         // the last whole message or answer
   Ms part_since_ = 0;    // a part of one has come; 0: none
@@ -155,6 +158,11 @@
         }
         asked.first = call.first;
       }
+      if (owner_.shelf_ && call.paged) {
+        asked.paged = true;
+        asked.key = call.key;
+        asked.owner = call.key.empty() ? std::string_view(peer_) : call.key;
+      }
       asked.timeout = call.timeout;
       asked.estimate = call.estimate;
       asked.memory_mb = call.memory_mb;
@@ -162,7 +170,12 @@
       switch (owner_.core_->take_in(loop_.now(), ref, std::move(asked))) {
         case TakeIn::kTaken:
           open_calls[call.id] = ref;
-          owner_.open_[ref] = {this, call.id};
+          owner_.open_[ref] = {this, call.id, std::string(call.key)};
+          break;
+        case TakeIn::kFound:
+          open_calls[call.id] = ref;
+          owner_.open_[ref] = {this, call.id, std::string(call.key)};
+          owner_.answer_paged(ref, owner_.core_->found());
           break;
         case TakeIn::kUnknownProfile:
           refuse(-32601, "no such method");
@@ -180,6 +193,41 @@
       }
       break;
     }
+    case proto::RpcCall::Kind::kPage:
+    case proto::RpcCall::Kind::kRelease: {
+      if (!owner_.shelf_) {
+        refuse(-32601, "no such method");
+        break;
+      }
+      if (call.kind == proto::RpcCall::Kind::kRelease) {
+        owner_.shelf_->release(loop_.now(), call.token, call.key)
+            ? proto::append_released(out, call.id)
+            : proto::append_error(out, call.id, true, proto::kRpcGone, "gone");
+        break;
+      }
+      if (open_calls.size() >= proto::kRpcOpenMost) {
+        refuse(-32600, "too many open requests");
+        break;
+      }
+      if (open_calls.count(call.id)) return break_off("number in use");
+      const CallRef ref = ++owner_.last_call_;
+      open_calls[call.id] = ref;
+      owner_.open_[ref] = {this, call.id, {}};
+      owner_.counters_.add("pages asked for");
+      owner_.shelf_->read(loop_.now(), call.token, call.key, call.page,
+                          [&owner = owner_, ref, page = call.page](Ms, Shelf::Read what,
+                                                                   std::string_view rows, uint64_t pages) {
+                            owner.reply(ref, [&](std::string& text, int64_t id) {
+                              if (what == Shelf::Read::kRows)
+                                proto::append_page(text, id, page, pages, rows);
+                              else if (what == Shelf::Read::kGone)
+                                proto::append_error(text, id, true, proto::kRpcGone, "gone");
+                              else
+                                proto::append_error(text, id, true, proto::kRpcNoSuchPage, "no such page");
+                            });
+                          });
+      break;
+    }
     default:
       refuse(call.code, call.why);
   }
@@ -267,10 +315,25 @@
   reply(call, [&](std::string& out, int64_t id) { proto::append_shed(out, id, advice); });
 }
 
-void Clients::fail(CallRef call) {
-  reply(call, [](std::string& out, int64_t id) {
-    proto::append_error(out, id, true, proto::kRpcFailed, "failed");
-  });
+void Clients::fail(CallRef call, std::string_view why) {
+  reply(call,
+        [&](std::string& out, int64_t id) { proto::append_error(out, id, true, proto::kRpcFailed, why); });
+}
+
+void Clients::answer_paged(CallRef call, ShelfNo no) {
+  const auto at = open_.find(call);
+  if (at == open_.end()) return;
+  const PagedAnswer paged = shelf_->answer(no);
+  const std::string key = at->second.key;
+  // Its first page may have to come from the disk.
+  shelf_->read(loop_.now(), paged.token, key, 1,
+               [this, call, paged](Ms, Shelf::Read what, std::string_view rows, uint64_t) {
+                 reply(call, [&](std::string& out, int64_t id) {
+                   what == Shelf::Read::kGone
+                       ? proto::append_error(out, id, true, proto::kRpcFailed, "the result was lost")
+                       : proto::append_paged(out, id, paged.token, paged.pages, paged.rows, rows);
+                 });
+               });
 }
 
 }  // namespace firvalve::net
--- a/src/net/clients.h
+++ b/src/net/clients.h
@@ -21,17 +21,20 @@
   Ms next_due() const { return look_at_; }
   size_t unsent() const;  // bytes of answers that clients have not taken yet
 
+  void read_pages(Shelf& shelf) { shelf_ = &shelf; }
   void read_marks(bool on) { marks_ = on; }  // of repeats; the operator's wish
   void listen(const std::string& address, Core& core);
   void answer(CallRef call, std::string_view rows) override;
   void shed(CallRef call, Ms advice) override;
-  void fail(CallRef call) override;
+  void fail(CallRef call, std::string_view why) override;
+  void answer_paged(CallRef call, ShelfNo no) override;
 
  private:
   class Connection;
   struct Open {
     Connection* connection = nullptr;
     int64_t id = 0;
+    std::string key;  // that its pages are bound to
   };
 
   void accept_on(bool on);
@@ -42,6 +45,7 @@
   Loop& loop_;
   Counters& counters_;
   Core* core_ = nullptr;
+  Shelf* shelf_ = nullptr;  // none: there are no paged answers
   Poco::Net::ServerSocket listener_;
   bool accepting_ = false, marks_ = false;
   Ms look_at_ = 0;
--- a/src/net/engines.cpp
+++ b/src/net/engines.cpp
@@ -8,13 +8,14 @@
 
 namespace {
 constexpr Ms kIdleSlack = 2000;  // before an engine's idle close: a call must not cross it
+constexpr Ms kSlowWait = 20;     // between pages that come faster than the disk takes them
 constexpr Ms kWaySlack = 100;    // past a time that the protocol states: for the way there and back
 }  // namespace
 
 class Engines::Connection : public Link {
  public:
   Connection(Engines& owner, uint32_t engine, const Poco::Net::SocketAddress& address)
-      : Link(owner.loop_, address), engine(engine), owner_(owner) {}
+      : Link(owner.loop_, address), engine(engine), reader(owner.sizes_.page), owner_(owner) {}
 
   const uint32_t engine;
   Task task = Task::kIdle;
@@ -136,6 +137,7 @@
 
 void Engines::start(Ms now, const Order& order) {
   Send& send = sends_[order.send];
+  send.query = proto::Query(order.paged ? sizes_.rows : std::min(sizes_.rows, proto::kRowsMost));
   send.order = order;
   pools_[order.engine].sends += 1;
   Connection* const link = link_to(order.engine, now);
@@ -184,8 +186,8 @@
   ask_later(send, now);
 }
 
-void Engines::ask_later(Send& send, Ms now) {
-  send.ask_at = now + proto::kNewsWait;
+void Engines::ask_later(Send& send, Ms now, Ms wait) {
+  send.ask_at = now + wait;
   look_at_ = sooner(look_at_, send.ask_at);
 }
 
@@ -215,6 +217,25 @@
     send.told = true;
     const proto::Query::Step step = send.query.hear(answer);
     if (step.noted) core_->noted(now, id, step.note, step.value);
+    bool slow = false;
+    if (send.order.paged && send.query.has_rows()) {
+      const Shelf::Put put = core_->page(now, id, send.query.take_rows());
+      if (put == Shelf::Put::kOutgrown) {
+        // The query ends here; the core has told its clients, and the module withdraws a send that is no
+        // more.
+        send.on = nullptr;
+        errand(send.order.engine, id, {}, false, now);
+        end(id, Outcome::kCancelled);
+        return keeps ? rest(link, now) : drop(link);
+      }
+      slow = put == Shelf::Put::kSlow;
+    }
+    if (step.next == proto::Query::Next::kAsk && slow) {
+      send.spoilt_since = 0;
+      send.on = nullptr;
+      ask_later(send, now, kSlowWait);
+      return keeps ? rest(link, now) : drop(link);
+    }
     if (step.next == proto::Query::Next::kAsk) {
       send.spoilt_since = 0;
       if (keeps) return carry(link, now);
@@ -223,6 +244,7 @@
     if (step.next == proto::Query::Next::kEnded) {
       // After a call of which nobody knows whether it came, an engine that knows nothing of the query is not
       // at fault.
+      if (step.outcome == Outcome::kOk && sizes_.give_up_read) errand(send.order.engine, id, {}, false, now);
       const bool blameless = step.outcome == Outcome::kFailed && send.spoilt_since > 0;
       end(id, blameless ? Outcome::kSpoilt : step.outcome, send.query.take_rows());
     } else if (step.next == proto::Query::Next::kAsk) {
--- a/src/net/engines.h
+++ b/src/net/engines.h
@@ -16,7 +16,13 @@
   struct Times {
     Ms connect = 0, idle = 0;  // until a connection must be up; until the engine closes an idle one
   };
+  // What a result may have; the platform's own figures unless the operator's file states others.
+  struct Sizes {
+    size_t page = proto::kHttpBodyMost, rows = proto::kRowsMost;  // bytes
+    bool give_up_read = false;  // the engine is told once all has been read, so that it holds nothing more
+  };
   Engines(Loop& loop, Counters& counters, Times times);
+  void size(const Sizes& sizes) { sizes_ = sizes; }
   ~Engines() override;
 
   void serve(Core& core) { core_ = &core; }
@@ -68,7 +74,7 @@
   void give(Connection& link, uint64_t id, Send& send, Ms now);
   void ask(uint64_t id, Ms now);
   void ask_again(uint64_t id, Ms now);
-  void ask_later(Send& send, Ms now);
+  void ask_later(Send& send, Ms now, Ms wait = proto::kNewsWait);
   void errand(uint32_t engine, uint64_t send, std::string call, bool ends_send, Ms now);
   void give_up(uint64_t id, Outcome as, Ms now);
   void end(uint64_t send, Outcome outcome, std::string rows = {});
@@ -77,6 +83,7 @@
   Loop& loop_;
   Counters& counters_;
   Times times_;
+  Sizes sizes_;
   Core* core_ = nullptr;
   std::map<uint32_t, Pool> pools_;
   std::map<uint64_t, Send> sends_;
--- a/src/policy/rules.cpp
+++ b/src/policy/rules.cpp
@@ -401,6 +401,8 @@
   if (const auto* x = std::get_if<Closing>(&event)) s.closes_at = x->at;
   if (const auto* g = std::get_if<ClientGone>(&event))
     if (Command* c = command_of(s, g->id)) c->ended = true;
+  if (const auto* p = std::get_if<Place>(&event))
+    if (Command* c = command_of(s, p->id)) c->placeless = !p->had;
   if (std::get_if<Bell>(&event) && now >= s.bell_at) s.bell_at = 0;
 }
 
@@ -700,6 +702,8 @@
       end(s, c);
       continue;
     }
+    // Guards an engine against holding a result that nobody has room for: without a place it only waits.
+    if (c.placeless) continue;
     if (c.heavy && pool_overloaded) {
       if (now - c.taken_at >= kHeavyHold) end(s, c);
       continue;
--- a/src/policy/rules.h
+++ b/src/policy/rules.h
@@ -81,7 +81,12 @@
 struct Closing {
   Ms at = 0;  // this gateway ends then: whatever it holds must have its answer
 };
-using Event = std::variant<Roster, Taken, Note, Settled, Probed, ClientGone, Bell, Closing>;
+// Whether the rows of a command have a place to go to; without a word they have.
+struct Place {
+  CommandId id;
+  bool had = true;
+};
+using Event = std::variant<Roster, Taken, Note, Settled, Probed, ClientGone, Bell, Closing, Place>;
 
 // ---- Actions ------------------------------------------------------------------------------------
 
@@ -180,7 +185,7 @@
   bool heavy = false;
   Ms held_since = 0;
   // Present state:
-  bool out = false, withdrawn = false, ended = false;
+  bool out = false, withdrawn = false, ended = false, placeless = false;
   int sends = 0, engine = -1;
   Ms sent_at = 0, noted_at = 0;
   double share_done = 0;
--- a/src/proto/jsonrpc/reply.cpp
+++ b/src/proto/jsonrpc/reply.cpp
@@ -52,6 +52,8 @@
   std::string body = fmt::format(R"({{"jsonrpc":"2.0","id":{},"method":{},"params":{{"req":"{}",)", c.id,
                                  quoted(c.profile), c.req);
   if (!c.first.empty()) fmt::format_to(std::back_inserter(body), R"("first":"{}",)", c.first);
+  if (c.paged) body += R"("paged":true,)";
+  if (!c.key.empty()) fmt::format_to(std::back_inserter(body), R"("key":{},)", quoted(c.key));
   fmt::format_to(std::back_inserter(body), R"("timeout":{:.0f},"ms":{:.1f},"mem":{:.1f},"bytes":")",
                  std::max(1.0, std::floor(c.timeout)), c.estimate, c.memory_mb);
   append_base64(body, c.statement);
@@ -59,6 +61,15 @@
   append_framed(out, body);
 }
 
+void append_page_call(std::string& out, const RpcPage& p) {
+  std::string body = fmt::format(R"({{"jsonrpc":"2.0","id":{},"method":"{}","params":{{"token":{})", p.id,
+                                 p.page == 0 ? "release" : "page", quoted(p.token));
+  if (p.page != 0) fmt::format_to(std::back_inserter(body), R"(,"page":{})", p.page);
+  if (!p.key.empty()) fmt::format_to(std::back_inserter(body), R"(,"key":{})", quoted(p.key));
+  body += "}}";
+  append_framed(out, body);
+}
+
 void append_revoke(std::string& out, int64_t id, std::string_view req) {
   append_framed(
       out, fmt::format(R"({{"jsonrpc":"2.0","method":"revoke","params":{{"id":{},"req":"{}"}}}})", id, req));
@@ -94,6 +105,16 @@
     reply.marks = marks && marks->IsBool() && marks->GetBool();
     return reply;
   }
+  if (const Value* released = member(*result, "released"); released && released->IsBool()) {
+    reply.kind = RpcReply::Kind::kRows;
+    return reply;
+  }
+  if (const Value* token = member(*result, "token"); token && token->IsString())
+    reply.token.assign(token->GetString(), token->GetStringLength());
+  if (const Value* pages = member(*result, "pages"); pages && pages->IsUint64())
+    reply.pages = pages->GetUint64();
+  if (const Value* rows = member(*result, "rows"); rows && rows->IsUint64())
+    reply.all_rows = rows->GetUint64();
   const Value* bytes = member(*result, "bytes");
   if (!bytes || !bytes->IsString()) return reply;
   auto rows = from_base64({bytes->GetString(), bytes->GetStringLength()});
--- a/src/proto/jsonrpc/reply.h
+++ b/src/proto/jsonrpc/reply.h
@@ -21,8 +21,16 @@
   std::string_view first;  // the first req of a chain of repeats; empty: not told
   Ms timeout = 0, estimate = 0;
   double memory_mb = 0;
+  bool paged = false;         // the rows are wanted as pages
+  std::string_view key = {};  // that the pages are bound to; empty: nothing
 };
 void append_command(std::string& out, const RpcCommand& command);
+struct RpcPage {
+  int64_t id = 0;
+  std::string_view token, key;
+  uint64_t page = 0;  // from 1; 0: the result is released
+};
+void append_page_call(std::string& out, const RpcPage& page);
 void append_revoke(std::string& out, int64_t id, std::string_view req);
 void append_heartbeat(std::string& out, int64_t id);
 
@@ -33,6 +41,8 @@
   bool has_id = false;
   int64_t id = 0;
   std::string rows;                     // kRows, decoded
+  std::string token;                    // kRows of a paged command
+  uint64_t pages = 0, all_rows = 0;     // the same; pages with any page
   Ms holdoff = 0;                       // kShed; 0: none, or none that is a time
   int code = 0;                         // kShed, kFailed
   std::string message;                  // the same
--- a/src/proto/jsonrpc/rpc.cpp
+++ b/src/proto/jsonrpc/rpc.cpp
@@ -43,6 +43,14 @@
   out += body;
 }
 
+void append_rows(std::string& out, std::string_view head, std::string_view rows) {
+  constexpr std::string_view kTail = R"("}})";
+  fmt::format_to(std::back_inserter(out), "Content-Length: {}\r\n\r\n{}",
+                 head.size() + (rows.size() + 2) / 3 * 4 + kTail.size(), head);
+  append_base64(out, rows);
+  out += kTail;
+}
+
 }  // namespace
 
 bool is_command_id(std::string_view text) {
@@ -107,6 +115,14 @@
     return call;
   }
   if (!call.has_id) return invalid(call, -32600, "no id");
+  put_text(*params, "key", call.key);
+  // With a token they are about pages; without one a deployment may have profiles of these names.
+  if ((call.profile == "page" || call.profile == "release") && put_text(*params, "token", call.token)) {
+    call.kind = call.profile == "page" ? RpcCall::Kind::kPage : RpcCall::Kind::kRelease;
+    if (const Value* page = member(*params, "page"); page && page->IsUint64()) call.page = page->GetUint64();
+    return call;
+  }
+  if (const Value* paged = member(*params, "paged")) call.paged = paged->IsBool() && paged->GetBool();
   std::string_view bytes;
   if (!put_text(*params, "req", call.command) || !is_command_id(call.command))
     return invalid(call, -32602, "req is not 16 hex digits");
@@ -124,12 +140,27 @@
 }
 
 void append_result(std::string& out, int64_t id, std::string_view rows) {
-  const std::string head = fmt::format(R"({{"jsonrpc":"2.0","id":{},"result":{{"bytes":")", id);
-  constexpr std::string_view kTail = R"("}})";
-  fmt::format_to(std::back_inserter(out), "Content-Length: {}\r\n\r\n{}",
-                 head.size() + (rows.size() + 2) / 3 * 4 + kTail.size(), head);
-  append_base64(out, rows);
-  out += kTail;
+  append_rows(out, fmt::format(R"({{"jsonrpc":"2.0","id":{},"result":{{"bytes":")", id), rows);
+}
+
+void append_paged(std::string& out, int64_t id, std::string_view token, uint64_t pages, uint64_t all_rows,
+                  std::string_view first_page) {
+  append_rows(
+      out,
+      fmt::format(R"({{"jsonrpc":"2.0","id":{},"result":{{"token":"{}","pages":{},"rows":{},"bytes":")", id,
+                  token, pages, all_rows),
+      first_page);
+}
+
+void append_page(std::string& out, int64_t id, uint64_t page, uint64_t pages, std::string_view rows) {
+  append_rows(
+      out,
+      fmt::format(R"({{"jsonrpc":"2.0","id":{},"result":{{"page":{},"pages":{},"bytes":")", id, page, pages),
+      rows);
+}
+
+void append_released(std::string& out, int64_t id) {
+  append_message(out, fmt::format(R"({{"jsonrpc":"2.0","id":{},"result":{{"released":true}}}})", id));
 }
 
 void append_healthy(std::string& out, int64_t id, bool healthy, bool marks) {
--- a/src/proto/jsonrpc/rpc.h
+++ b/src/proto/jsonrpc/rpc.h
@@ -29,7 +29,7 @@
 };
 
 struct RpcCall {
-  enum class Kind { kCommand, kRevoke, kHeartbeat, kInvalid, kUnread };
+  enum class Kind { kCommand, kRevoke, kHeartbeat, kPage, kRelease, kInvalid, kUnread };
   Kind kind = Kind::kInvalid;
   bool has_id = false;
   int64_t id = 0;
@@ -37,7 +37,11 @@
   const char* why = "";
   std::string_view profile, command;  // slices of the body
   std::string_view first;  // a repeat's mark: the first req of its chain; empty: not told; not checked
-  int64_t revoked = 0;     // the id of the request given up, 0: told by the command alone
+  // Of paged results:
+  bool paged = false;           // a command whose rows are wanted as pages
+  std::string_view key, token;  // slices; key: what its pages are bound to, empty: nothing
+  uint64_t page = 0;            // kPage: the one wanted, from 1; 0: not told, or none that can be
+  int64_t revoked = 0;          // the id of the request given up, 0: told by the command alone
   Ms timeout = 0, estimate = 0, memory_mb = 0;
   std::string statement;  // decoded: it outlives the message
 };
@@ -52,6 +56,11 @@
 void append_healthy(std::string& out, int64_t id, bool healthy, bool marks = false);
 void append_error(std::string& out, int64_t id, bool has_id, int code, std::string_view message);
 void append_shed(std::string& out, int64_t id, double stay_away_ms);
-constexpr int kRpcFailed = -32000, kRpcShed = -32001, kRpcUnreadable = -32700;
+void append_paged(std::string& out, int64_t id, std::string_view token, uint64_t pages, uint64_t rows,
+                  std::string_view first_page);
+void append_page(std::string& out, int64_t id, uint64_t page, uint64_t pages, std::string_view rows);
+void append_released(std::string& out, int64_t id);
+constexpr int kRpcFailed = -32000, kRpcShed = -32001, kRpcGone = -32002, kRpcNoSuchPage = -32003,
+              kRpcUnreadable = -32700;
 
 }  // namespace firvalve::proto
--- a/src/proto/store/http.cpp
+++ b/src/proto/store/http.cpp
@@ -5,7 +5,7 @@
 namespace firvalve::proto {
 namespace {
 
-constexpr int64_t kPagesMost = 1000;  // of a result: far past what 48,000 bytes make
+constexpr int64_t kPagesMost = 1000000;  // of a result; what they may hold together is the query's limit
 
 }  // namespace
 
@@ -40,7 +40,7 @@
     const auto field = field_of(line);
     if (!field) return Read::kBroken;
     if (same_name(field->name, "Content-Length")) {
-      const auto length = whole_number(field->value, static_cast<int64_t>(kHttpBodyMost));
+      const auto length = whole_number(field->value, static_cast<int64_t>(body_most_));
       if (!length || length_told) return Read::kBroken;
       body_length_ = answer.status == 204 ? 0 : static_cast<size_t>(*length);
       length_told = true;
--- a/src/proto/store/http.h
+++ b/src/proto/store/http.h
@@ -22,13 +22,14 @@
 // Reads one answer, past any 1xx ahead of it; wants reset() before the next.
 class HttpReader {
  public:
+  explicit HttpReader(size_t body_most = kHttpBodyMost) : body_most_(body_most) {}
   Read next(Inbox& in, HttpAnswer& answer);  // slices are good until the inbox's next room()
   void reset() { head_length_ = body_length_ = 0; }
 
  private:
   Read read_head(std::string_view head, HttpAnswer& answer);
 
-  size_t head_length_ = 0, body_length_ = 0;
+  size_t body_most_, head_length_ = 0, body_length_ = 0;
 };
 
 }  // namespace firvalve::proto
--- a/src/proto/store/query.h
+++ b/src/proto/store/query.h
@@ -2,9 +2,10 @@
 #pragma once
 
 #include <string>
+#include <utility>
 
-#include "proto/store/http.h"
 #include "policy/rules.h"
+#include "proto/store/http.h"
 
 namespace firvalve::proto {
 
@@ -26,6 +27,8 @@
 // Hears the answers to the calls of one send, in turn, and says which call comes next.
 class Query {
  public:
+  explicit Query(size_t rows_most = kRowsMost) : rows_most_(rows_most) {}  // bytes of a result
+
   enum class Next { kAsk, kEnded, kSpoilt };  // spoilt: no answer to that call; it can be asked for again
   struct Step {
     Next next = Next::kAsk;
@@ -37,10 +40,12 @@
 
   Step hear(const HttpAnswer& answer);
   void append_ask(std::string& out, std::string_view id, std::string_view host) const;
-  std::string take_rows() { return std::move(rows_); }
+  bool has_rows() const { return !rows_.empty(); }
+  std::string take_rows() { return std::exchange(rows_, {}); }  // since the last taking
 
  private:
   int64_t page_ = 0, pages_ = 0;  // the next to ask for, and all; page 0 is also the news
+  size_t rows_most_, rows_taken_ = 0;
   std::string rows_;
 };
 
--- /dev/null
+++ b/src/spool/files.cpp
@@ -0,0 +1,240 @@
+#include "spool/files.h"
+
+#include <fcntl.h>
+#include <fmt/format.h>
+#include <sys/file.h>
+#include <sys/stat.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <cerrno>
+#include <cstring>
+#include <filesystem>
+#include <stdexcept>
+#include <utility>
+
+namespace firvalve::spool {
+
+namespace {
+
+std::runtime_error unusable(const std::string& folder, const std::string& why) {
+  return std::runtime_error(fmt::format("spool folder {}: {}", folder, why));
+}
+
+bool write_all(int fd, std::string_view bytes) {
+  while (!bytes.empty()) {
+    const ssize_t n = ::write(fd, bytes.data(), bytes.size());
+    if (n < 0 && errno == EINTR) continue;
+    if (n <= 0) return false;
+    bytes.remove_prefix(static_cast<size_t>(n));
+  }
+  return true;
+}
+
+std::string read_whole(int fd) {
+  struct stat about {};
+  if (::fstat(fd, &about) != 0) return {};
+  std::string all(static_cast<size_t>(about.st_size), '\0');
+  size_t got = 0;
+  while (got < all.size()) {
+    const ssize_t n = ::pread(fd, all.data() + got, all.size() - got, static_cast<off_t>(got));
+    if (n < 0 && errno == EINTR) continue;
+    if (n <= 0) break;
+    got += static_cast<size_t>(n);
+  }
+  all.resize(got);
+  return all;
+}
+
+}  // namespace
+
+std::string Files::path_of(size_t segment) const {
+  return fmt::format("{}/segment-{:010}", terms_.folder, segment);
+}
+
+Files::Files(const Terms& terms, double unix_now, std::function<void()> wake)
+    : terms_(terms), wake_(std::move(wake)) {
+  std::error_code error;
+  std::filesystem::create_directories(terms_.folder, error);
+  if (error) throw unusable(terms_.folder, error.message());
+  lock_ = ::open((terms_.folder + "/lock").c_str(), O_RDWR | O_CREAT | O_CLOEXEC, 0600);
+  if (lock_ < 0) throw unusable(terms_.folder, std::strerror(errno));
+  if (::flock(lock_, LOCK_EX | LOCK_NB) != 0) {
+    ::close(lock_);
+    throw unusable(terms_.folder, "another gateway uses it");
+  }
+  std::vector<size_t> numbers;
+  for (const auto& entry : std::filesystem::directory_iterator(terms_.folder, error)) {
+    const std::string name = entry.path().filename();
+    if (name.starts_with("segment-") && name.find_first_not_of("0123456789", 8) == std::string::npos &&
+        name.size() == 18)
+      numbers.push_back(std::stoull(name.substr(8)));
+  }
+  std::sort(numbers.begin(), numbers.end());
+  Recovery recovery;
+  for (const size_t number : numbers) {
+    const int fd = ::open(path_of(number).c_str(), O_RDWR | O_CLOEXEC);
+    if (fd < 0) {
+      ++broken;
+      continue;
+    }
+    const size_t end = recovery.hear(number, read_whole(fd));
+    if (end != std::string_view::npos && ::ftruncate(fd, static_cast<off_t>(end)) == 0) ++cut;
+    ::close(fd);
+  }
+  found = recovery.found(unix_now, broken);
+  if (!numbers.empty()) {
+    first_ = numbers.front();
+    current_ = numbers.back();
+  }
+  if (!open_segment()) {
+    const std::string why = std::strerror(errno);
+    ::close(lock_);
+    throw unusable(terms_.folder, why);
+  }
+  thread_ = std::thread([this] { run(); });
+}
+
+Files::~Files() {
+  {
+    const std::lock_guard lock(mutex_);
+    ending_ = true;
+  }
+  wanted_.notify_all();
+  thread_.join();
+  if (segment_fd_ >= 0) ::close(segment_fd_);
+  ::close(lock_);
+}
+
+bool Files::open_segment() {
+  const int fd = ::open(path_of(current_ + 1).c_str(), O_RDWR | O_CREAT | O_TRUNC | O_CLOEXEC, 0600);
+  if (fd < 0) return false;
+  if (!write_all(fd, kSegmentHead)) {
+    ::close(fd);
+    return false;
+  }
+  if (segment_fd_ >= 0) ::close(segment_fd_);
+  segment_fd_ = fd;
+  written_ = kSegmentHead.size();
+  const std::lock_guard lock(mutex_);
+  ++current_;
+  return true;
+}
+
+void Files::post(Task task) {
+  {
+    const std::lock_guard lock(mutex_);
+    backlog_ += task.bytes;
+    tasks_.push_back(std::move(task));
+  }
+  wanted_.notify_one();
+}
+
+void Files::append(uint64_t tag, Record record) {
+  Task t;
+  t.tag = tag;
+  t.bytes = kRecordHead + record.stored.bytes.size();
+  t.record = std::move(record);
+  post(std::move(t));
+}
+
+void Files::read(uint64_t tag, const Found::Place& place) {
+  Task t;
+  t.kind = Task::Kind::kRead;
+  t.tag = tag;
+  t.place = place;
+  post(std::move(t));
+}
+
+void Files::drop_until(size_t segment) {
+  Task t;
+  t.kind = Task::Kind::kDrop;
+  t.place.segment = segment;
+  post(std::move(t));
+}
+
+std::vector<Storage::Done> Files::done() {
+  const std::lock_guard lock(mutex_);
+  return std::exchange(done_, {});
+}
+
+size_t Files::backlog() const {
+  const std::lock_guard lock(mutex_);
+  return backlog_;
+}
+
+size_t Files::current() const {
+  const std::lock_guard lock(mutex_);
+  return current_;
+}
+
+Storage::Done Files::write(const Task& task) {
+  Done d;
+  d.tag = task.tag;
+  std::string bytes;
+  append_record(bytes, task.record);
+  if (written_ + bytes.size() > terms_.segment_bytes && written_ > kSegmentHead.size()) open_segment();
+  // Guards against a disk that is full in the middle of a record: what follows would be behind a torn one,
+  // and lost with it. The record goes again whole, or not at all.
+  if (!write_all(segment_fd_, bytes)) {
+    if (::ftruncate(segment_fd_, static_cast<off_t>(written_)) != 0 ||
+        ::lseek(segment_fd_, static_cast<off_t>(written_), SEEK_SET) < 0)
+      open_segment();
+    return d;
+  }
+  d.good = true;
+  const std::lock_guard lock(mutex_);
+  d.place = {current_, written_ + kRecordHead, task.record.stored.bytes.size(), task.record.stored.raw,
+             task.record.stored.sum};
+  written_ += bytes.size();
+  return d;
+}
+
+Storage::Done Files::fetch(const Task& task) {
+  Done d;
+  d.tag = task.tag;
+  const int fd = ::open(path_of(task.place.segment).c_str(), O_RDONLY | O_CLOEXEC);
+  if (fd < 0) return d;
+  d.bytes.resize(task.place.length);
+  size_t got = 0;
+  while (got < d.bytes.size()) {
+    const ssize_t n =
+        ::pread(fd, d.bytes.data() + got, d.bytes.size() - got, static_cast<off_t>(task.place.offset + got));
+    if (n < 0 && errno == EINTR) continue;
+    if (n <= 0) break;
+    got += static_cast<size_t>(n);
+  }
+  ::close(fd);
+  d.good = got == d.bytes.size();
+  return d;
+}
+
+void Files::run() {
+  for (;;) {
+    Task task;
+    {
+      std::unique_lock lock(mutex_);
+      wanted_.wait(lock, [&] { return ending_ || !tasks_.empty(); });
+      if (tasks_.empty()) return;
+      task = std::move(tasks_.front());
+      tasks_.pop_front();
+    }
+    if (task.kind == Task::Kind::kDrop) {
+      for (; first_ < task.place.segment; ++first_) ::unlink(path_of(first_).c_str());
+      continue;
+    }
+    Done d = task.kind == Task::Kind::kAppend ? write(task) : fetch(task);
+    bool wake = false;
+    {
+      const std::lock_guard lock(mutex_);
+      backlog_ -= task.bytes;
+      if (d.tag != 0) {
+        wake = done_.empty();
+        done_.push_back(std::move(d));
+      }
+    }
+    if (wake) wake_();
+  }
+}
+
+}  // namespace firvalve::spool
--- /dev/null
+++ b/src/spool/files.h
@@ -0,0 +1,69 @@
+// Segment files in one folder, on a thread of their own. A segment is appended to until it is full, and
+// dropped whole once nothing before its end is wanted. No write is waited for and none is forced to the disk:
+// what a killed process had written is there, what a machine without power loses shows as a torn tail or a
+// wrong checksum and is not served.
+#pragma once
+
+#include <condition_variable>
+#include <deque>
+#include <functional>
+#include <mutex>
+#include <string>
+#include <thread>
+
+#include "spool/storage.h"
+
+namespace firvalve::spool {
+
+class Files : public Storage {
+ public:
+  struct Terms {
+    std::string folder;
+    size_t segment_bytes = 16 * 1024 * 1024;
+  };
+  // Locks the folder, reads back what is there and cuts torn tails off. `wake` is called on the files' thread
+  // when done() has something. Throws std::runtime_error in one sentence: the folder cannot be made or
+  // written, or another gateway uses it.
+  Files(const Terms& terms, double unix_now, std::function<void()> wake);
+  ~Files() override;  // what waits is written first
+
+  void append(uint64_t tag, Record record) override;
+  void read(uint64_t tag, const Found::Place& place) override;
+  void drop_until(size_t segment) override;
+  std::vector<Done> done() override;
+  size_t backlog() const override;
+  size_t current() const override;
+
+  // What was found at the start.
+  std::vector<Found> found;
+  size_t broken = 0, cut = 0;  // results with a page that cannot be read; segments with a torn tail
+
+ private:
+  struct Task {
+    enum class Kind { kAppend, kRead, kDrop } kind = Kind::kAppend;
+    uint64_t tag = 0;
+    Record record;
+    Found::Place place;
+    size_t bytes = 0;
+  };
+  void run();
+  Done write(const Task& task);
+  Done fetch(const Task& task);
+  bool open_segment();
+  std::string path_of(size_t segment) const;
+  void post(Task task);
+
+  const Terms terms_;
+  std::function<void()> wake_;
+  int lock_ = -1, segment_fd_ = -1;
+  size_t written_ = 0, first_ = 1;  // bytes of the current segment; the oldest that is there
+  mutable std::mutex mutex_;
+  std::condition_variable wanted_;
+  std::deque<Task> tasks_;
+  std::vector<Done> done_;
+  size_t backlog_ = 0, current_ = 0;
+  bool ending_ = false;
+  std::thread thread_;
+};
+
+}  // namespace firvalve::spool
--- /dev/null
+++ b/src/spool/spool.h
@@ -0,0 +1,109 @@
+// The spool: results as pages under a token. It carries out what Keeping decides, and holds the bytes.
+// One thread: the loop's. The files have their own.
+#pragma once
+
+#include <deque>
+#include <map>
+#include <memory>
+#include <unordered_map>
+#include <vector>
+
+#include "core/shelf.h"
+#include "spool/files.h"
+#include "spool/keeping.h"
+#include "spool/sizes.h"
+#include "spool/storage.h"
+
+namespace firvalve::spool {
+
+struct SpoolTerms {
+  KeepingTerms keeping;
+  double first_expected = 64 * 1024;  // bytes of a result of which nothing is known
+  double backlog_most = 4e6;          // bytes waiting for the disk, past which engines are asked more slowly
+};
+
+class Spool : public Shelf {
+ public:
+  // Counts by name: kept, evicted, outgrown and so on.
+  using Count = std::function<void(std::string_view what)>;
+  Spool(const SpoolTerms& terms, uint64_t life, Count count);
+  ~Spool() override;
+
+  // Results of earlier lives, and where pages go from here on. The storage must outlive the spool.
+  void use(Ms now, Storage& storage, const std::vector<Found>& found);
+  std::function<void(Ms now)> on_room;  // a place may be had again
+
+  ShelfNo reserve(Ms now, const Wish& wish) override;
+  ShelfNo find(Ms now, const Wish& wish) override;
+  Put page(Ms now, ShelfNo no, std::string_view rows) override;
+  void clear(Ms now, ShelfNo no) override;
+  void drop(Ms now, ShelfNo no) override;
+  void whole(Ms now, ShelfNo no) override;
+  PagedAnswer answer(ShelfNo no) const override;
+  void read(Ms now, std::string_view token, std::string_view key, uint64_t page, Rows done) override;
+  bool release(Ms now, std::string_view token, std::string_view key) override;
+
+  void due(Ms now);  // what the storage has done, and leases that are over
+  Ms next_due() const { return room_ ? 1 : keeping_.next_due(); }
+  const Keeping& keeping() const { return keeping_; }
+  bool settled() const { return reads_.empty(); }
+
+ private:
+  struct Page {
+    StoredPage stored;  // its bytes: empty once it is on disk alone
+    Found::Place place;
+    bool on_disk = false, written = false;  // written: it has been handed to the storage
+    double size = 0;
+  };
+  struct Result {
+    Token token{};
+    std::string owner, profile;
+    uint64_t key = 0, chain = 0;
+    int64_t tables = -1;
+    uint64_t rows = 0, tries = 0;      // tries: how often it began anew
+    uint64_t life = 0, stored_as = 0;  // as an earlier life of the program stored it; 0: this one
+    std::vector<Page> pages;
+    double raw = 0;
+    bool whole = false;
+    Ms told_until = 0;  // the lease's end as the storage knows it; 0: it knows nothing of its being whole
+  };
+  struct Writing {
+    ResultNo no = 0;
+    size_t page = 0;
+    uint64_t tries = 0;
+  };
+  struct Reading {
+    ResultNo no = 0;
+    size_t page = 0;
+    Rows done;
+  };
+
+  uint64_t key_hash(std::string_view key) const;
+  uint64_t chain_hash(const Wish& wish) const;
+  ResultNo by_token(std::string_view token, std::string_view key) const;  // 0: none that this client may have
+  void gone(ResultNo no, Gone why);
+  void leave_memory(ResultNo no);
+  void write(Ms now, ResultNo no, size_t page);
+  void tell_whole(Ms now, ResultNo no);
+  void put_name(ResultNo no, const Result& r, Record& record) const;  // what the storage knows it by
+  void let_go(const Result& r);
+  void drop_segments();
+
+  const SpoolTerms terms_;
+  const uint64_t life_;
+  Count count_;
+  Keeping keeping_;
+  Sizes sizes_;
+  Storage* storage_ = nullptr;
+  std::unordered_map<ResultNo, Result> results_;
+  std::unordered_multimap<uint64_t, ResultNo> tokens_, chains_;  // by hash
+  std::unordered_map<uint64_t, Writing> writes_;
+  std::unordered_map<uint64_t, Reading> reads_;
+  std::map<size_t, int> live_;  // pages wanted, by segment
+  uint64_t last_tag_ = 0, salt_ = 0;
+  size_t dropped_until_ = 0;
+  bool room_ = false;  // something has gone since the last look
+  Ms now_ = 0;
+};
+
+}  // namespace firvalve::spool
--- a/tests/core/core_test.cpp
+++ b/tests/core/core_test.cpp
@@ -14,7 +14,10 @@
     finals.push_back("answer " + std::to_string(call) + " " + std::string(rows));
   }
   void shed(CallRef call, Ms) override { finals.push_back("shed " + std::to_string(call)); }
-  void fail(CallRef call) override { finals.push_back("fail " + std::to_string(call)); }
+  void fail(CallRef call, std::string_view) override { finals.push_back("fail " + std::to_string(call)); }
+  void answer_paged(CallRef call, ShelfNo no) override {
+    finals.push_back("paged " + std::to_string(call) + " " + std::to_string(no));
+  }
   void start(Ms, const Order& order) override { started.push_back(order); }
   void withdraw(Ms, uint64_t send, Outcome as) override { withdrawn.push_back({send, as}); }
   void rank(Ms, uint64_t, int) override {}
