The spool is tested against its failures; structured logs; a page limit put back

Need: paged results had no test of their own, and log lines were bare text. Cause: in src/proto/store/http.cpp the limit of pages had gone from 1,000 to 1,000,000 for plain results, too; a spoilt head that told thousands of pages was believed, and the pages asked for until the engine said that it failed.

--- a/src/config/operator.cpp
+++ b/src/config/operator.cpp
@@ -53,6 +53,13 @@
        1000000,
        {},
        true},
+      {"log.level",
+       [](Operator& o) -> Place { return &o.log.level; },
+       "the least that is written",
+       0,
+       0,
+       {"debug", "info", "warning", "error"}},
+      {"log.form", [](Operator& o) -> Place { return &o.log.form; }, "of a line", 0, 0, {"logfmt", "json"}},
   };
   return all;
 }
--- a/src/config/operator.h
+++ b/src/config/operator.h
@@ -26,6 +26,9 @@
     double first_expected_kb = 64;  // of a result of which nothing is known
     double results = 10000;         // kept at once
   } spool;
+  struct Log {
+    std::string level = "info", form = "logfmt";
+  } log;
 };
 
 struct Fault {
--- a/src/core/core.cpp
+++ b/src/core/core.cpp
@@ -34,14 +34,13 @@
   return out;
 }
 
-Core::Core(const Articles& articles, uint64_t seed, Front& front, Back& back, Counters& counters,
-           std::function<void(const std::string&)> log)
+Core::Core(const Articles& articles, uint64_t seed, Front& front, Back& back, Counters& counters, Say say)
     : state_(open(articles, seed)),
       profiles_(names_of(articles, "profile")),
       front_(front),
       back_(back),
       counters_(counters),
-      log_(std::move(log)),
+      say_(std::move(say)),
       tick_(number(articles, "tick")),
       longest_timeout_(longest_timeout(articles)) {
   double cores = 0, memory_mb = 0;
@@ -337,7 +336,10 @@
     bells_.emplace(now + a.wait, static_cast<uint64_t>(a.number));
     return;
   }
-  if (a.kind == Action::Kind::kLog) return log_(a.text);
+  if (a.kind == Action::Kind::kLog) {
+    const auto engine = listed_.find(a.engine);
+    return say_(a.text, engine == listed_.end() ? std::string() : engine->second);
+  }
   const auto at = held_.find(a.id.text);
   if (at == held_.end()) return;
   Held& h = at->second;
--- a/src/core/core.h
+++ b/src/core/core.h
@@ -78,6 +78,9 @@
   Listing listing;
 };
 
+// What the module has to say: in words, and of which engine by its listed name (empty: of none).
+using Say = std::function<void(const std::string& text, const std::string& engine)>;
+
 struct Counters {
   std::map<std::string, uint64_t, std::less<>> counts;
   void add(std::string_view what, std::string_view kind = {});
@@ -86,8 +89,7 @@
 
 class Core {
  public:
-  Core(const Articles& articles, uint64_t seed, Front& front, Back& back, Counters& counters,
-       std::function<void(const std::string&)> log);
+  Core(const Articles& articles, uint64_t seed, Front& front, Back& back, Counters& counters, Say say);
 
   void limit(size_t bytes) { most_held_ = bytes; }  // of statements in hand
   void shelve(Shelf& shelf) { shelf_ = &shelf; }    // without one there are no paged answers
@@ -158,7 +160,7 @@
   Front& front_;
   Back& back_;
   Counters& counters_;
-  std::function<void(const std::string&)> log_;
+  Say say_;
   HeldMap held_;
   std::map<CallRef, Id> calls_;
   std::map<Id, Id> chains_;  // of those marked with another's id, while a client waits: the one in hand
--- a/src/gateway/serve.cpp
+++ b/src/gateway/serve.cpp
@@ -14,6 +14,7 @@
 
 #include "config/operator.h"
 #include "core/articles.h"
+#include "log/log.h"
 #include "net/bus.h"
 #include "net/clients.h"
 #include "net/engines.h"
@@ -30,7 +31,16 @@
 // Parts of the memory limit: of links' buffers, and of the statements in hand. The rest is the program's own.
 constexpr double kBufferPart = 0.4, kStatementPart = 0.2;
 
-void log(const std::string& line) { fmt::print(stderr, "firvalve: {}\n", line); }
+using log::Level;
+
+void set_log(log::Log& logger, const config::Operator::Log& wish) {
+  static constexpr std::pair<std::string_view, Level> kLevels[] = {{"debug", Level::kDebug},
+                                                                   {"info", Level::kInfo},
+                                                                   {"warning", Level::kWarning},
+                                                                   {"error", Level::kError}};
+  for (const auto& [name, level] : kLevels)
+    if (name == wish.level) logger.set(wish.form == "json" ? log::Form::kJson : log::Form::kLogfmt, level);
+}
 
 struct Unusable : std::runtime_error {
   using std::runtime_error::runtime_error;
@@ -101,8 +111,10 @@
   if (file.empty()) return {};
   const config::Reading reading = config::read_operator_file(file);
   if (reading.good()) return reading.values;
-  for (size_t i = 1; i < reading.faults.size(); ++i) log(config::line_of(file, reading.faults[i]));
-  throw Unusable(config::line_of(file, reading.faults.front()));
+  std::string all;
+  for (const config::Fault& fault : reading.faults)
+    all += (all.empty() ? "" : "; ") + config::line_of(file, fault);
+  throw Unusable(all);
 }
 
 // A byte from another thread turns the loop: what the files have done is looked at in the turn that follows.
@@ -133,7 +145,7 @@
 
 // The spool with its files, where the operator wants them. The files end before the waker that they ring.
 struct Shelving {
-  Shelving(const config::Operator::Spool& wish, net::Loop& loop, Counters& counters) {
+  Shelving(const config::Operator::Spool& wish, net::Loop& loop, Counters& counters, log::Log& logger) {
     if (!wish.on) return;
     spool::SpoolTerms terms;
     terms.keeping.memory = wish.memory_mb * 1e6;
@@ -152,8 +164,10 @@
     files = std::make_unique<spool::Files>(spool::Files::Terms{wish.folder}, loop.now(),
                                            [w = waker.get()] { w->wake(); });
     if (files->cut + files->broken > 0)
-      log(fmt::format("spool: {} torn tails cut off, {} results with broken pages left out", files->cut,
-                      files->broken));
+      logger.write(loop.now(), Level::kWarning, "parts of the spool's folder left out",
+                   {{"component", "spool"},
+                    {"torn_tails_cut", std::to_string(files->cut)},
+                    {"results_broken", std::to_string(files->broken)}});
     spool->use(loop.now(), *files, files->found);
     files->found.clear();
   }
@@ -169,6 +183,8 @@
   Told told = read_told();
   const Articles& articles = told.articles;
   const double bytes = told.memory_mb * 1024 * 1024;
+  log::Log logger;
+  set_log(logger, wishes.log);
   net::Loop loop;
   loop.limit(told.sockets - kDescriptorsKept, static_cast<size_t>(kBufferPart * bytes));
   Counters counters;
@@ -176,14 +192,18 @@
   net::Clients clients(loop, counters);
   clients.read_marks(wishes.clients.marks);
   net::Engines engines(loop, counters, {connect, number(articles, "idle close", 15000)});
-  Core core(articles, told.seed, clients, engines, counters, log);
+  const auto say = [&](Level level, std::string_view event, log::Fields fields) {
+    logger.write(loop.now(), level, event, fields);
+  };
+  Core core(articles, told.seed, clients, engines, counters,
+            [&](const std::string& text, const std::string& engine) {
+              say(Level::kWarning, text, {{"component", "module"}, {"engine", engine}});
+            });
   core.limit(static_cast<size_t>(kStatementPart * bytes));
   engines.serve(core);
-  Shelving shelving(wishes.spool, loop, counters);
+  Shelving shelving(wishes.spool, loop, counters, logger);
   if (wishes.spool.on) {
-    const double kb = 1000, mb = 1e6;
-    engines.size({static_cast<size_t>(wishes.spool.page_kb * kb),
-                  static_cast<size_t>(wishes.spool.result_mb * mb), true});
+    engines.size({static_cast<size_t>(wishes.spool.page_kb * 1000), true});
     core.shelve(*shelving.spool);
     clients.read_pages(*shelving.spool);
     shelving.spool->on_room = [&core](Ms now) { core.room(now); };
@@ -192,28 +212,36 @@
 
   for (proto::BusEvent& event : told.known) net::tell_roster(core, loop.now(), std::move(event));
   bus.follow(core, told.last);
+  bus.on_unreadable = [&](std::string_view line) {
+    say(Level::kWarning, "a line of the event bus cannot be read; connecting anew",
+        {{"component", "bus"}, {"line", std::string(line)}});
+  };
   clients.listen(told.listen, core);
   Ms ended_at = 0;  // SIGTERM came then
   net::Signals signals(loop, [&](int number) {
-    if (number == SIGUSR1) return log(counters.text());
+    if (number == SIGUSR1)
+      return say(Level::kInfo, "counters", {{"component", "gateway"}, {"counts", counters.text()}});
     // The event bus has moved. Everything else that a new file may say holds from the next start.
     if (number == SIGHUP) {
       counters.add("configurations read anew");
       try {
+        const config::Operator again = read_wishes(operator_file);
         bus.move(loop.now(), read_told().bus);
+        set_log(logger, again.log);
       } catch (const std::exception& e) {
-        log(fmt::format("{}; the one before stays in force", e.what()));
+        say(Level::kError, "the one before stays in force", {{"component", "gateway"}, {"why", e.what()}});
       }
       return;
     }
     if (ended_at > 0) return;
     ended_at = loop.now();
     core.closing(ended_at, ended_at + proto::answers_end(longest_timeout(articles)));
-    log("ending: everything taken is answered first");
+    say(Level::kInfo, "ending: everything taken is answered first", {{"component", "gateway"}});
   });
-  log("serving");
+  say(Level::kInfo, "serving", {{"component", "gateway"}, {"address", told.listen}});
   loop.on_turn = [&](Ms now) {
     bus.due(now);
+    logger.due(now);
     engines.due(now);
     if (shelving.spool) shelving.spool->due(now);
     clients.due(now);
@@ -223,11 +251,11 @@
       loop.stop();
     if (ended_at > 0) return now + kEndLook;
     const Ms spooled = shelving.spool ? shelving.spool->next_due() : 0;
-    return sooner(spooled, sooner(sooner(bus.next_due(), clients.next_due()),
-                                  sooner(engines.next_due(), core.next_due())));
+    return sooner(sooner(spooled, logger.next_due()), sooner(sooner(bus.next_due(), clients.next_due()),
+                                                             sooner(engines.next_due(), core.next_due())));
   };
   loop.run();
-  log(counters.text());
+  say(Level::kInfo, "counters", {{"component", "gateway"}, {"counts", counters.text()}});
   return 0;
 }
 
--- a/src/index/wheel.h
+++ b/src/index/wheel.h
@@ -1,5 +1,5 @@
 // A hierarchical timer wheel: nodes that are due at a time, put in, moved and taken out in constant time,
-// without allocation. Times are in ticks from 0; a node in the past is due at once. A node belongs to at most
+// without allocation. Times are in ticks from 1; a node in the past is due at once. A node belongs to at most
 // one wheel and takes itself out when it ends.
 //
 // Four levels of 256 slots: a node lies in the level whose slots are just fine enough to tell it from the
@@ -21,7 +21,7 @@
 
 class Wheel {
  public:
-  explicit Wheel(uint64_t now = 0) : now_(now) {}
+  explicit Wheel(uint64_t now = 1) : now_(now) {}
 
   void put(WheelNode& node, uint64_t due) {
     node.unlink();
--- a/src/net/bus.cpp
+++ b/src/net/bus.cpp
@@ -2,7 +2,7 @@
 
 #include <Poco/Net/NetException.h>
 
-#include <iostream>
+#include <algorithm>
 
 namespace firvalve::net {
 
@@ -48,8 +48,7 @@
   auto event = proto::read_bus_line(line);
   if (!event) {
     counters_.add("bus lines unreadable");
-    const std::string_view start(line.data(), std::min<size_t>(line.size(), 200));
-    std::cerr << "event bus: a line cannot be read; connecting anew from " << last_ << ": " << start << '\n';
+    if (on_unreadable) on_unreadable({line.data(), std::min<size_t>(line.size(), 200)});
     return lost(now);
   }
   due_at_ = now + proto::kBusSilence;
--- a/src/net/bus.h
+++ b/src/net/bus.h
@@ -1,6 +1,7 @@
 // The connection to the event bus: followed, lost, and made anew from the last event read.
 #pragma once
 
+#include <functional>
 #include <memory>
 
 #include "core/core.h"
@@ -18,7 +19,8 @@
     core_ = &core;
     last_ = last;
   }
-  void move(Ms now, std::string address);  // the numbers go on
+  std::function<void(std::string_view line)> on_unreadable;  // where it begins
+  void move(Ms now, std::string address);                    // the numbers go on
   void due(Ms now);
   Ms next_due() const { return due_at_; }
 
--- a/src/net/engines.cpp
+++ b/src/net/engines.cpp
@@ -7,9 +7,10 @@
 namespace firvalve::net {
 
 namespace {
-constexpr Ms kIdleSlack = 2000;  // before an engine's idle close: a call must not cross it
-constexpr Ms kSlowWait = 20;     // between pages that come faster than the disk takes them
-constexpr Ms kWaySlack = 100;    // past a time that the protocol states: for the way there and back
+constexpr Ms kIdleSlack = 2000;          // before an engine's idle close: a call must not cross it
+constexpr int64_t kPagedMost = 1000000;  // pages of a result that goes to the spool
+constexpr Ms kSlowWait = 20;             // between pages that come faster than the disk takes them
+constexpr Ms kWaySlack = 100;            // past a time that the protocol states: for the way there and back
 }  // namespace
 
 class Engines::Connection : public Link {
@@ -137,7 +138,7 @@
 
 void Engines::start(Ms now, const Order& order) {
   Send& send = sends_[order.send];
-  send.query = proto::Query(order.paged ? sizes_.rows : std::min(sizes_.rows, proto::kRowsMost));
+  send.query = order.paged ? proto::Query(SIZE_MAX, kPagedMost) : proto::Query();
   send.order = order;
   pools_[order.engine].sends += 1;
   Connection* const link = link_to(order.engine, now);
--- a/src/net/engines.h
+++ b/src/net/engines.h
@@ -16,9 +16,10 @@
   struct Times {
     Ms connect = 0, idle = 0;  // until a connection must be up; until the engine closes an idle one
   };
-  // What a result may have; the platform's own figures unless the operator's file states others.
+  // The platform's own figures unless the operator's file states others. What a paged result may have, the
+  // shelf decides.
   struct Sizes {
-    size_t page = proto::kHttpBodyMost, rows = proto::kRowsMost;  // bytes
+    size_t page = proto::kHttpBodyMost;  // bytes of a page
     bool give_up_read = false;  // the engine is told once all has been read, so that it holds nothing more
   };
   Engines(Loop& loop, Counters& counters, Times times);
--- a/src/policy/rules.cpp
+++ b/src/policy/rules.cpp
@@ -795,6 +795,7 @@
     if (e.doubted != e.told) {
       const char* const word = !e.doubted ? ": trusted again" : e.silent ? ": silent" : ": failing or slow";
       out.emplace_back().text = "engine " + std::to_string(e.id) + word;
+      out.back().engine = e.id;
       e.told = e.doubted;
     }
   }
--- a/src/proto/bus/bus.h
+++ b/src/proto/bus/bus.h
@@ -8,8 +8,8 @@
 #include <string>
 #include <vector>
 
-#include "proto/inbox.h"
 #include "policy/rules.h"
+#include "proto/inbox.h"
 
 namespace firvalve::proto {
 
--- a/src/proto/store/http.cpp
+++ b/src/proto/store/http.cpp
@@ -5,7 +5,7 @@
 namespace firvalve::proto {
 namespace {
 
-constexpr int64_t kPagesMost = 1000000;  // of a result; what they may hold together is the query's limit
+constexpr int64_t kPageNumberMost = 1000000;  // of a result; what they may hold together is the query's limit
 
 }  // namespace
 
@@ -51,9 +51,9 @@
     } else if (same_name(field->name, "Not-Begun")) {
       answer.not_begun = field->value == "1";
     } else if (same_name(field->name, "X-Sheets")) {
-      answer.pages = whole_number(field->value, kPagesMost).value_or(-1);
+      answer.pages = whole_number(field->value, kPageNumberMost).value_or(-1);
     } else if (same_name(field->name, "X-Sheet")) {
-      answer.page = whole_number(field->value, kPagesMost).value_or(-1);
+      answer.page = whole_number(field->value, kPageNumberMost).value_or(-1);
     } else if (same_name(field->name, "Detail")) {
       answer.note = field->value;
     } else if (same_name(field->name, "X-Val")) {
--- a/src/proto/store/query.cpp
+++ b/src/proto/store/query.cpp
@@ -96,7 +96,7 @@
   // it is asked.
   step.next = Next::kSpoilt;
   const int64_t told = page_ == 0 ? answer.pages : answer.page;
-  if (answer.status != 200 || (page_ == 0 ? told < 1 : told != page_)) return step;
+  if (answer.status != 200 || (page_ == 0 ? told < 1 || told > pages_most_ : told != page_)) return step;
   if (!whole_rows(answer.body) || rows_taken_ + answer.body.size() > rows_most_) return step;
   if (page_ == 0) pages_ = told;
   rows_ += answer.body;
--- a/src/spool/keeping.h
+++ b/src/spool/keeping.h
@@ -31,7 +31,7 @@
 struct KeepingTerms {
   double memory = 8e6;       // bytes of pages in memory, reserved places included
   double disk = 0;           // bytes of pages on disk; 0: there is none
-  double result_most = 1e9;  // bytes of one result
+  double result_most = 1e9;  // bytes of one result, as rows
   Ms lease = 60000;          // since its last read, a result is kept
   size_t results_most = 100000;
 };
--- a/src/spool/spool.cpp
+++ b/src/spool/spool.cpp
@@ -107,6 +107,10 @@
   now_ = now;
   const auto at = results_.find(no);
   if (at == results_.end() || at->second.whole) return Put::kOutgrown;
+  if (at->second.raw + static_cast<double>(rows.size()) > terms_.keeping.result_most) {
+    keeping_.forget(no, Gone::kOutgrown);
+    return Put::kOutgrown;
+  }
   Page p;
   p.stored = pack(rows);
   p.size = static_cast<double>(p.stored.bytes.size()) + kPageOverhead;
--- a/src/standin/engine.cpp
+++ b/src/standin/engine.cpp
@@ -65,10 +65,7 @@
 };
 
 Engine::Engine(Host& host, Means means, const std::string& address)
-    : host_(host),
-      means_(means),
-      connections_(host),
-      alive_(std::make_shared<bool>(true)) {
+    : host_(host), means_(means), connections_(host), alive_(std::make_shared<bool>(true)) {
   host_.do_now([&] {
     listener_ = std::make_unique<Listener>(host_, [this](Poco::Net::StreamSocket socket) {
       Connection* const key = connections_.add(std::make_unique<Connection>(*this, socket));
@@ -195,8 +192,10 @@
   query.number = ++last_number_;
   if (const auto same = queries_.find(call.id); same != queries_.end()) leave(same);
   Query& kept = queries_[call.id] = std::move(query);
-  if (means_.slots == 0 || at_work_ < means_.slots) begin(call.id, kept);
-  else line_.push_back(call.id);
+  if (means_.slots == 0 || at_work_ < means_.slots)
+    begin(call.id, kept);
+  else
+    line_.push_back(call.id);
   tell(connection, call.id, 0, now);
 }
 
@@ -227,8 +226,10 @@
 }
 
 void Engine::leave(std::map<std::string, Query>::iterator at) {
-  if (at->second.works) --at_work_;
-  else std::erase(line_, at->first);
+  if (at->second.works)
+    --at_work_;
+  else
+    std::erase(line_, at->first);
   queries_.erase(at);
   begin_next();
 }
@@ -267,8 +268,7 @@
                                            number = query.number] {
     if (!*alive || !connections_.has(key)) return;
     const auto query_at = queries_.find(id);
-    if (query_at != queries_.end() &&
-        (query_at->second.waits != key || query_at->second.number != number))
+    if (query_at != queries_.end() && (query_at->second.waits != key || query_at->second.number != number))
       return;  // it has been told
     if (!key->waits) return;
     if (query_at != queries_.end()) query_at->second.waits = nullptr;
@@ -288,7 +288,7 @@
   }
   std::string body = rows_of(s, page);
   int told = page;
-  if (spoil && s.spoil == "half") body.resize(body.size() / 2);
+  if (spoil && s.spoil == "half") body.resize(body.size() / 2 - 1);  // in the middle of a row
   if (spoil && s.spoil == "page") told = page + 1;
   std::string text =
       http("200 OK",
--- a/src/standin/process.h
+++ b/src/standin/process.h
@@ -20,7 +20,7 @@
   void signal(int number);
   int wait();  // its exit code; -1: ended by a signal
   void stop(int number) { signal(number), wait(); }
-  bool running() const { return process_ > 0; }
+  pid_t id() const { return process_; }
   void rewrite(const std::string& config);
   const std::string& config_path() const { return path_; }
   // Waits until something listens there, for at most 10 s; false: nothing does.
--- a/tests/core/core_test.cpp
+++ b/tests/core/core_test.cpp
@@ -37,7 +37,7 @@
                           {"profile.0.client timeout", 4000.0}};
   Heard heard;
   Counters counters;
-  Core core{articles, 1, heard, heard, counters, [](const std::string&) {}};
+  Core core{articles, 1, heard, heard, counters, [](const std::string&, const std::string&) {}};
 
   void list(const std::string& name, Life life = Life::kReady) {
     NamedListing l{name, "127.0.0.1:1", {}};
@@ -231,5 +231,125 @@
   EXPECT_EQ(heard.started.size(), 2u);
 }
 
+// ---- Paged commands -----------------------------------------------------------------------------
+
+struct FakeShelf : Shelf {
+  bool room = true;
+  Put put = Put::kTaken;
+  ShelfNo last = 0, known = 0;
+  std::vector<std::string> said;
+  ShelfNo reserve(Ms, const Wish&) override { return room ? ++last : 0; }
+  ShelfNo find(Ms, const Wish&) override { return known; }
+  Put page(Ms, ShelfNo no, std::string_view rows) override {
+    said.push_back("page " + std::to_string(no) + " " + std::string(rows));
+    return put;
+  }
+  void clear(Ms, ShelfNo no) override { said.push_back("clear " + std::to_string(no)); }
+  void drop(Ms, ShelfNo no) override { said.push_back("drop " + std::to_string(no)); }
+  void whole(Ms, ShelfNo no) override { said.push_back("whole " + std::to_string(no)); }
+  PagedAnswer answer(ShelfNo) const override { return {}; }
+  void read(Ms, std::string_view, std::string_view, uint64_t, Rows) override {}
+  bool release(Ms, std::string_view, std::string_view) override { return false; }
+};
+
+struct CorePaged : CoreTest {
+  FakeShelf shelf;
+  CorePaged() { core.shelve(shelf); }
+  TakeIn ask(CallRef call, const char* id, const char* first = "") {
+    Asked asked;
+    asked.command = id;
+    asked.profile = "quick";
+    asked.first = first;
+    asked.statement = "select 1";
+    asked.timeout = 4000;
+    asked.estimate = 100;
+    asked.paged = true;
+    return core.take_in(1000, call, std::move(asked));
+  }
+};
+
+TEST_F(CorePaged, PagesGoToTheShelfAndTheAnswerNamesThem) {
+  list("s-1");
+  ask(1, "00000000000000a1");
+  core.turn(1000);
+  ASSERT_EQ(heard.started.size(), 1u);
+  EXPECT_TRUE(heard.started[0].paged);
+  core.page(1010, 1, "a\n");
+  core.page(1011, 1, "b\n");
+  core.ended(1012, 1, Outcome::kOk);
+  EXPECT_EQ(heard.finals, std::vector<std::string>{"paged 1 1"});
+  EXPECT_EQ(shelf.said, (std::vector<std::string>{"page 1 a\n", "page 1 b\n", "whole 1"}));
+}
+
+TEST_F(CorePaged, WithoutAPlaceItWaitsAndIsNotSent) {
+  list("s-1");
+  shelf.room = false;
+  ask(1, "00000000000000a1");
+  core.turn(1000);
+  core.turn(1100);
+  EXPECT_TRUE(heard.started.empty());
+  take(2);  // a plain one needs none
+  core.turn(1200);
+  EXPECT_EQ(heard.started.size(), 1u);
+  shelf.room = true;
+  core.room(1300);
+  core.turn(1300);
+  EXPECT_EQ(heard.started.size(), 2u);
+}
+
+TEST_F(CorePaged, WaitingForAPlaceItStillEndsInItsTime) {
+  list("s-1");
+  shelf.room = false;
+  ask(1, "00000000000000a1");
+  for (Ms now = 1000; now < 5100; now += 20) core.turn(now);
+  ASSERT_EQ(heard.finals.size(), 1u);
+  EXPECT_NE(heard.finals[0], "paged 1 0");
+  core.room(5200);
+  EXPECT_EQ(shelf.last, 0u);
+}
+
+TEST_F(CorePaged, AnEngineThatDiesInTheMiddleIsFollowedByAnother) {
+  list("s-1");
+  list("s-2");
+  ask(1, "00000000000000a1");
+  core.turn(1000);
+  core.page(1010, 1, "a\n");
+  core.ended(1020, 1, Outcome::kReset);
+  EXPECT_EQ(shelf.said.back(), "clear 1");
+  for (Ms now = 1020; now < 2000 && heard.started.size() < 2; now += 20) core.turn(now);
+  ASSERT_EQ(heard.started.size(), 2u);
+  core.page(2010, 2, "a\n");
+  core.ended(2020, 2, Outcome::kOk);
+  EXPECT_EQ(heard.finals, std::vector<std::string>{"paged 1 1"});
+}
+
+TEST_F(CorePaged, WhatOutgrowsItsPlaceEndsAtOnce) {
+  list("s-1");
+  ask(1, "00000000000000a1");
+  core.turn(1000);
+  shelf.put = Shelf::Put::kOutgrown;
+  EXPECT_EQ(core.page(1010, 1, "a\n"), Shelf::Put::kOutgrown);
+  EXPECT_EQ(heard.finals, std::vector<std::string>{"fail 1"});
+  core.ended(1020, 1, Outcome::kCancelled);
+  core.turn(1040);
+  EXPECT_EQ(core.in_hand(), 0u);
+}
+
+TEST_F(CorePaged, AClientThatGoesLeavesNoPlaceBehind) {
+  list("s-1");
+  ask(1, "00000000000000a1");
+  core.client_gone(1010, 1);
+  EXPECT_EQ(shelf.said, std::vector<std::string>{"drop 1"});
+}
+
+TEST_F(CorePaged, AMarkedRepeatOfAFinishedResultRunsNothing) {
+  list("s-1");
+  shelf.known = 9;
+  EXPECT_EQ(ask(1, "00000000000000a2", "00000000000000a1"), TakeIn::kFound);
+  EXPECT_EQ(core.found(), 9u);
+  core.turn(1000);
+  EXPECT_TRUE(heard.started.empty());
+}
+
 }  // namespace
 }  // namespace firvalve
--- a/tests/proto/proto_test.cpp
+++ b/tests/proto/proto_test.cpp
@@ -265,6 +265,17 @@
     EXPECT_EQ(table_group(text), -1) << text;
 }
 
+TEST(Query, ANumberOfPagesThatNoResultCanHaveIsSpoilt) {
+  Query query;
+  HttpAnswer answer;
+  answer.status = 200;
+  answer.pages = 5000;
+  answer.body = "a\tb\tc\n";
+  EXPECT_EQ(query.hear(answer).next, Query::Next::kSpoilt);
+  answer.pages = 2;
+  EXPECT_EQ(query.hear(answer).next, Query::Next::kAsk);
+}
+
 // ---- The clients' end of JSON-RPC ---------------------------------------------------------------
 
 RpcReply reply_of(std::string text) {
