--- a/tests/gateway/spool_gateway_test.cpp
+++ b/tests/gateway/spool_gateway_test.cpp
@@ -1,5 +1,6 @@
 // Paged results over loopback: the real program, the client library, stand-in engines; processes that die and
 // readers that stop.
+#include <Poco/Net/StreamSocket.h>
 #include <gtest/gtest.h>
 #include <signal.h>
 #include <stdlib.h>
@@ -11,6 +12,7 @@
 #include <thread>
 
 #include "client/client.h"
+#include "proto/jsonrpc/reply.h"
 #include "standin/fleet.h"
 #include "standin/process.h"
 
@@ -228,6 +230,77 @@
   EXPECT_EQ(read_all(pages), std::pair(Next::kEnd, 6));
 }
 
+// A client that says its first try again under its mark, over another connection.
+struct Raw {
+  explicit Raw(const std::string& address) { socket.connect(Poco::Net::SocketAddress(address)); }
+  void ask(int64_t id, const std::string& req, const std::string& first, const std::string& statement) {
+    std::string out;
+    proto::append_command(out, {id, "report", statement, req, first, 15000, 20, 1, true});
+    socket.sendBytes(out.data(), static_cast<int>(out.size()));
+  }
+  proto::RpcReply reply() {
+    std::span<char> body;
+    while (frames.next(inbox, body) != proto::Read::kWhole) {
+      const auto room = inbox.room(65536);
+      const int got = socket.receiveBytes(room.data(), static_cast<int>(room.size()));
+      if (got <= 0) return {};
+      inbox.filled(static_cast<size_t>(got));
+    }
+    return proto::read_reply(body);
+  }
+  Poco::Net::StreamSocket socket;
+  proto::Inbox inbox;
+  proto::RpcFrames frames;
+};
+
+TEST_F(SpoolGateway, AMarkedRepeatFindsTheFinishedResultOrJoinsTheOneThatRuns) {
+  start("");
+  const std::string first = "00000000000000a1", statement = "select 1 /*! pages=4 delay=200 */";
+  Raw one(address), two(address), three(address);
+  one.ask(1, first, "", statement);
+  ASSERT_TRUE(soon([&] { return fleet.started() == 1; }));
+  two.ask(1, "00000000000000a2", first, statement);  // it runs
+  const std::string token = one.reply().token;
+  EXPECT_EQ(token.size(), 32u);
+  EXPECT_EQ(two.reply().token, token);
+  one.socket.close();                                  // the client vanishes with the answer half read
+  three.ask(1, "00000000000000a3", first, statement);  // it has finished
+  EXPECT_EQ(three.reply().token, token);
+  EXPECT_EQ(fleet.started(), 1);
+  three.ask(2, "00000000000000a4", "", statement);  // without a mark it is another command
+  EXPECT_NE(three.reply().token, token);
+  EXPECT_EQ(fleet.started(), 2);
+}
+
+TEST_F(SpoolGateway, AClientThatVanishesBeforeItsTokenLeavesNoQueryBehind) {
+  start("");
+  {
+    Raw one(address);
+    one.ask(1, "00000000000000a1", "", "select 1 /*! silent */");
+    ASSERT_TRUE(soon([&] { return fleet.started() == 1; }));
+    one.socket.setLinger(true, 0);  // an orderly end alone might be a client that still reads
+  }
+  const auto given_up = [&] {
+    int all = 0;
+    for (int i = 0; i < fleet.engines(); ++i) all += fleet.engine(i).calls("DELETE");
+    return all;
+  };
+  EXPECT_TRUE(soon([&] { return given_up() >= 1; }));
+  EXPECT_EQ(ask("select 2").outcome, Outcome::kAnswered);
+}
+
+TEST_F(SpoolGateway, AReaderOfOneByteAtATimeGetsItAllAndHoldsNobody) {
+  start("");
+  Raw slow(address);
+  slow.ask(1, "00000000000000a1", "", "select 1 /*! rows=30 pages=2 */");
+  ASSERT_TRUE(soon([&] { return fleet.started() == 1; }));
+  std::string got;
+  char byte;
+  while (got.find("\"bytes\"") == std::string::npos && slow.socket.receiveBytes(&byte, 1) == 1) got += byte;
+  EXPECT_EQ(ask("select 2 /*! pages=2 */").outcome, Outcome::kAnswered);
+  EXPECT_NE(got.find("\"pages\":2"), std::string::npos);
+}
+
 TEST_F(SpoolGateway, AFolderInUseOrThatCannotBeEndsTheStartInOneLine) {
   start(on_disk());
   standin::Process second(FIRVALVE_PROGRAM, fleet.config(standin::free_address()),
--- a/tests/spool/spool_test.cpp
+++ b/tests/spool/spool_test.cpp
@@ -361,6 +361,27 @@
   EXPECT_EQ(answers[4], "gone");
 }
 
+TEST_F(FilesTest, AFlippedBitInAFileCostsItsResultAloneAndIsNeverServed) {
+  const auto tokens = live(5, 1000);
+  for (const auto& e : std::filesystem::directory_iterator(folder)) {
+    if (!e.path().filename().string().starts_with("segment") || std::filesystem::file_size(e.path()) < 100)
+      continue;
+    std::fstream file(e.path(), std::ios::in | std::ios::out | std::ios::binary);
+    file.seekp(static_cast<long>(kSegmentHead.size() + kRecordHead + 2));  // in the first page
+    file.put('!');
+    break;
+  }
+  live(0, 2000, tokens);
+  int gone = 0;
+  for (size_t i = 0; i < answers.size(); ++i) {
+    if (answers[i] == "gone")
+      ++gone;
+    else
+      EXPECT_EQ(answers[i], "page\t" + std::to_string(i) + "\tc\n");
+  }
+  EXPECT_EQ(gone, 1);
+}
+
 TEST_F(FilesTest, ASecondGatewayIsRefusedInOneSentence) {
   Files files({folder}, 1000, [] {});
   try {
