--- a/src/gateway/serve.cpp
+++ b/src/gateway/serve.cpp
@@ -203,7 +203,7 @@
   engines.serve(core);
   Shelving shelving(wishes.spool, loop, counters, logger);
   if (wishes.spool.on) {
-    engines.size({static_cast<size_t>(wishes.spool.page_kb * 1000), true});
+    engines.limit_page(static_cast<size_t>(wishes.spool.page_kb * 1000));
     core.shelve(*shelving.spool);
     clients.read_pages(*shelving.spool);
     shelving.spool->on_room = [&core](Ms now) { core.room(now); };
--- a/src/net/engines.cpp
+++ b/src/net/engines.cpp
@@ -16,7 +16,7 @@
 class Engines::Connection : public Link {
  public:
   Connection(Engines& owner, uint32_t engine, const Poco::Net::SocketAddress& address)
-      : Link(owner.loop_, address), engine(engine), reader(owner.sizes_.page), owner_(owner) {}
+      : Link(owner.loop_, address), engine(engine), reader(owner.page_most_), owner_(owner) {}
 
   const uint32_t engine;
   Task task = Task::kIdle;
@@ -245,7 +245,8 @@
     if (step.next == proto::Query::Next::kEnded) {
       // After a call of which nobody knows whether it came, an engine that knows nothing of the query is not
       // at fault.
-      if (step.outcome == Outcome::kOk && sizes_.give_up_read) errand(send.order.engine, id, {}, false, now);
+      // All of it is here: the engine need hold it no longer. A plain result ends by itself, as it did.
+      if (step.outcome == Outcome::kOk && send.order.paged) errand(send.order.engine, id, {}, false, now);
       const bool blameless = step.outcome == Outcome::kFailed && send.spoilt_since > 0;
       end(id, blameless ? Outcome::kSpoilt : step.outcome, send.query.take_rows());
     } else if (step.next == proto::Query::Next::kAsk) {
--- a/src/net/engines.h
+++ b/src/net/engines.h
@@ -16,14 +16,10 @@
   struct Times {
     Ms connect = 0, idle = 0;  // until a connection must be up; until the engine closes an idle one
   };
-  // The platform's own figures unless the operator's file states others. What a paged result may have, the
-  // shelf decides.
-  struct Sizes {
-    size_t page = proto::kHttpBodyMost;  // bytes of a page
-    bool give_up_read = false;  // the engine is told once all has been read, so that it holds nothing more
-  };
+  // Bytes of a page; the platform's own figure unless the operator's file states another. What a paged result may
+  // have, the shelf decides.
   Engines(Loop& loop, Counters& counters, Times times);
-  void size(const Sizes& sizes) { sizes_ = sizes; }
+  void limit_page(size_t bytes) { page_most_ = bytes; }
   ~Engines() override;
 
   void serve(Core& core) { core_ = &core; }
@@ -84,7 +80,7 @@
   Loop& loop_;
   Counters& counters_;
   Times times_;
-  Sizes sizes_;
+  size_t page_most_ = proto::kHttpBodyMost;
   Core* core_ = nullptr;
   std::map<uint32_t, Pool> pools_;
   std::map<uint64_t, Send> sends_;
