--- a/bench/spool_bench.cpp
+++ b/bench/spool_bench.cpp
@@ -309,7 +309,9 @@
       fmt::format(
           R"("memory_mb": 32, "disk_mb": {}, "page_kb": 1000, "result_mb": 100, "lease_s": 3600, "folder": "{}")",
           2 * mb, data.path));
-  client::Client client(at.options());
+  client::Options options = at.options();
+  options.spread_ms = options.spread_most_ms = 0;  // the gateway's time, not the client's
+  client::Client client(options);
   const auto bytes = [&] {
     uintmax_t all = 0;
     for (const auto& e : std::filesystem::directory_iterator(data.path)) all += e.file_size();
--- a/src/index/wheel.h
+++ b/src/index/wheel.h
@@ -71,15 +71,30 @@
     while (level + 1 < kLevels && far >= span(level + 1)) ++level;
     // Past the end of all levels: the slot that comes last.
     const uint64_t at = far < span(kLevels) ? node.due : now_ + span(kLevels) - 1;
-    slots_[static_cast<size_t>(level)][(at >> (kBits * level)) & (kSlots - 1)].push_back(node);
+    const uint64_t slot = (at >> (kBits * level)) & (kSlots - 1);
+    slots_[static_cast<size_t>(level)][slot].push_back(node);
+    marks_[static_cast<size_t>(level)][slot / 64] |= uint64_t{1} << (slot % 64);
   }
 
-  // Where the first slot of the level that holds anything begins, after now; 0: all are empty.
+  // Where the first slot of the level that holds anything begins, after now; 0: all are empty. Looks at the slots
+  // that may hold something alone: nodes leave without a word, so a mark may be left over, never missing.
   uint64_t first_in(int level) const {
+    auto& marks = marks_[static_cast<size_t>(level)];
     const uint64_t here = now_ >> (kBits * level);
-    for (uint64_t i = 1; i <= kSlots; ++i)
-      if (!slots_[static_cast<size_t>(level)][(here + i) & (kSlots - 1)].empty())
-        return (here + i) << (kBits * level);
+    for (uint64_t n = 1; n <= kSlots;) {
+      const uint64_t slot = (here + n) & (kSlots - 1);
+      const uint64_t word = marks[slot / 64] >> (slot % 64);
+      if (word == 0) {
+        n += 64 - slot % 64;
+        continue;
+      }
+      const auto ahead = static_cast<uint64_t>(std::countr_zero(word));
+      n += ahead;
+      if (n > kSlots) return 0;
+      if (!slots_[static_cast<size_t>(level)][(here + n) & (kSlots - 1)].empty())
+        return (here + n) << (kBits * level);
+      marks[(slot + ahead) / 64] &= ~(uint64_t{1} << ((slot + ahead) % 64));
+    }
     return 0;
   }
 
@@ -106,6 +121,7 @@
 
   uint64_t now_;
   std::array<std::array<List, kSlots>, kLevels> slots_;
+  mutable std::array<std::array<uint64_t, kSlots / 64>, kLevels> marks_{};  // slots that may hold something
   List due_;
 };
 
