One waker, one reading of JSON in place; a spool too large for its gateway is refused

Need: reading the whole change again showed a loop's waker and the in-place reading of JSON written twice, commands without a place that stayed in a list after their end, and a fault in the operator's file that kept a new event bus from being taken at SIGHUP.

--- a/src/core/core.cpp
+++ b/src/core/core.cpp
@@ -201,7 +201,10 @@
   tell(at->second, [&](CallRef call) { calls_.erase(call); });
   at->second.call = 0;
   at->second.joined.clear();
-  if (at->second.place != 0) shelf_->drop(now_, std::exchange(at->second.place, 0));
+  if (at->second.place != 0)
+    shelf_->drop(now_, std::exchange(at->second.place, 0));
+  else if (at->second.paged)
+    std::erase(placeless_, at->first);
   if (const auto chain = chains_.find(at->second.chain); chain != chains_.end() && chain->second == at->first)
     chains_.erase(chain);
   if (at->second.send == 0) erase(at);
--- a/src/gateway/serve.cpp
+++ b/src/gateway/serve.cpp
@@ -1,13 +1,11 @@
 #include "gateway/serve.h"
 
-#include <Poco/Net/StreamSocketImpl.h>
 #include <fmt/format.h>
 #include <signal.h>
-#include <sys/socket.h>
-#include <unistd.h>
 
 #include <cstdlib>
 #include <fstream>
+#include <functional>
 #include <iostream>
 #include <random>
 #include <sstream>
@@ -19,6 +17,7 @@
 #include "net/clients.h"
 #include "net/engines.h"
 #include "net/signals.h"
+#include "net/waker.h"
 #include "proto/term.h"
 #include "spool/spool.h"
 
@@ -117,32 +116,6 @@
   throw Unusable(all);
 }
 
-// A byte from another thread turns the loop: what the files have done is looked at in the turn that follows.
-class Waker : public net::Link {
- public:
-  static std::unique_ptr<Waker> make(net::Loop& loop) {
-    int ends[2];
-    if (::socketpair(AF_UNIX, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0, ends) != 0)
-      throw Unusable("no descriptor left");
-    return std::unique_ptr<Waker>(new Waker(loop, ends));
-  }
-  ~Waker() override { ::close(write_end_); }
-  void wake() {
-    const char byte = 1;
-    [[maybe_unused]] const ssize_t n = ::send(write_end_, &byte, 1, MSG_NOSIGNAL | MSG_DONTWAIT);
-  }
-
- protected:
-  void on_bytes() override { inbox_.used(inbox_.text().size()); }
-  void on_end(End) override {}
-
- private:
-  Waker(net::Loop& loop, const int (&ends)[2])
-      : Link(loop, Poco::Net::StreamSocket(new Poco::Net::StreamSocketImpl(ends[0])), Kind::kLocal),
-        write_end_(ends[1]) {}
-  const int write_end_;
-};
-
 // The spool with its files, where the operator wants them. The files end before the waker that they ring.
 struct Shelving {
   Shelving(const config::Operator::Spool& wish, net::Loop& loop, Counters& counters, log::Log& logger) {
@@ -160,7 +133,7 @@
     spool = std::make_unique<spool::Spool>(terms, life,
                                            [&counters](std::string_view what) { counters.add(what); });
     if (wish.folder.empty()) return;
-    waker = Waker::make(loop);
+    waker = std::make_unique<net::Waker>(loop);  // the turn that follows looks at what the files have done
     files = std::make_unique<spool::Files>(spool::Files::Terms{wish.folder}, loop.now(),
                                            [w = waker.get()] { w->wake(); });
     if (files->cut + files->broken > 0)
@@ -171,7 +144,7 @@
     spool->use(loop.now(), *files, files->found);
     files->found.clear();
   }
-  std::unique_ptr<Waker> waker;
+  std::unique_ptr<net::Waker> waker;
   std::unique_ptr<spool::Files> files;
   std::unique_ptr<spool::Spool> spool;
 };
@@ -181,6 +154,11 @@
 int serve(const std::string& operator_file) {
   const config::Operator wishes = read_wishes(operator_file);
   Told told = read_told();
+  // Guards against a spool that takes the memory which connections and statements need: the gateway would be
+  // ended for it. Half is more than they ever had.
+  if (wishes.spool.on && wishes.spool.memory_mb > told.memory_mb / 2)
+    throw Unusable(fmt::format("{}: spool.memory_mb: {} is more than half of the gateway's own {} MB",
+                               operator_file, wishes.spool.memory_mb, told.memory_mb));
   const Articles& articles = told.articles;
   const double bytes = told.memory_mb * 1024 * 1024;
   log::Log logger;
@@ -224,13 +202,18 @@
     // The event bus has moved. Everything else that a new file may say holds from the next start.
     if (number == SIGHUP) {
       counters.add("configurations read anew");
-      try {
-        const config::Operator again = read_wishes(operator_file);
-        bus.move(loop.now(), read_told().bus);
-        set_log(logger, again.log);
-      } catch (const std::exception& e) {
-        say(Level::kError, "the one before stays in force", {{"component", "gateway"}, {"why", e.what()}});
-      }
+      // Each file by itself: a fault in one leaves the other its effect.
+      const auto try_to = [&](const std::function<void()>& take) {
+        try {
+          take();
+        } catch (const std::exception& e) {
+          say(Level::kError, "the one before stays in force", {{"component", "gateway"}, {"why", e.what()}});
+        }
+      };
+      try_to([&] { bus.move(loop.now(), read_told().bus); });
+      try_to([&] {
+        if (!operator_file.empty()) set_log(logger, read_wishes(operator_file).log);
+      });
       return;
     }
     if (ended_at > 0) return;
--- a/src/proto/jsonrpc/reply.cpp
+++ b/src/proto/jsonrpc/reply.cpp
@@ -81,13 +81,8 @@
 
 RpcReply read_reply(std::span<char> body) {
   RpcReply reply;
-  char& behind = *(body.data() + body.size());
-  const char kept = behind;
-  behind = '\0';
   rapidjson::Document message;
-  message.ParseInsitu<rapidjson::kParseIterativeFlag>(body.data());
-  behind = kept;
-  if (message.HasParseError() || !message.IsObject()) return reply;
+  if (!parse_in_place(body, message) || !message.IsObject()) return reply;
   if (const Value* id = member(message, "id"); id && id->IsInt64()) {
     reply.has_id = true;
     reply.id = id->GetInt64();
--- a/src/proto/jsonrpc/rpc.cpp
+++ b/src/proto/jsonrpc/rpc.cpp
@@ -85,14 +85,8 @@
 
 RpcCall read_call(std::span<char> body) {
   RpcCall call;
-  // The parser stops at an end mark; what stands in its place is the next message.
-  char& behind = *(body.data() + body.size());
-  const char kept = behind;
-  behind = '\0';
   rapidjson::Document message;
-  message.ParseInsitu<rapidjson::kParseIterativeFlag>(body.data());
-  behind = kept;
-  if (message.HasParseError()) return invalid(call, kRpcUnreadable, "not JSON");
+  if (!parse_in_place(body, message)) return invalid(call, kRpcUnreadable, "not JSON");
   if (!message.IsObject()) return invalid(call, -32600, "not a request");
   if (const Value* id = member(message, "id")) {
     if (!id->IsInt64() || id->GetInt64() < 1) return invalid(call, -32600, "id is no number from 1 up");
--- a/src/standin/host.cpp
+++ b/src/standin/host.cpp
@@ -4,10 +4,8 @@
 #include <Poco/Net/NetException.h>
 #include <Poco/Net/StreamSocketImpl.h>
 #include <sys/socket.h>
-#include <unistd.h>
 
 #include <future>
-#include <stdexcept>
 
 namespace firvalve::standin {
 
@@ -15,37 +13,9 @@
 using Poco::Net::SocketAddress;
 using Poco::Net::StreamSocket;
 
-// A byte on it makes the loop look at what was posted.
-class Host::Bell : public net::Link {
- public:
-  Bell(Host& host, const int (&ends)[2])
-      : Link(host.loop_, StreamSocket(new Poco::Net::StreamSocketImpl(ends[0])), Kind::kLocal),
-        host_(host),
-        write_end_(ends[1]) {}
-  ~Bell() override { ::close(write_end_); }
-  void ring() {
-    const char byte = 1;
-    [[maybe_unused]] const ssize_t n = ::send(write_end_, &byte, 1, MSG_NOSIGNAL | MSG_DONTWAIT);
-  }
-
- protected:
-  void on_bytes() override {
-    inbox_.used(inbox_.text().size());
-    host_.run_posted();
-  }
-  void on_end(End) override {}
-
- private:
-  Host& host_;
-  const int write_end_;
-};
-
 Host::Host() {
-  int ends[2];
-  if (::socketpair(AF_UNIX, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0, ends) != 0)
-    throw std::runtime_error("stand-in: no socket pair");
   loop_.limit(1 << 20, size_t{1} << 30);
-  bell_ = std::make_unique<Bell>(*this, ends);
+  bell_ = std::make_unique<net::Waker>(loop_, [this] { run_posted(); });
   loop_.on_turn = [this](Ms now) { return turn(now); };
   thread_ = std::thread([this] { loop_.run(); });
 }
@@ -58,7 +28,7 @@
 void Host::post(std::function<void()> task) {
   const std::lock_guard lock(mutex_);
   posted_.push_back(std::move(task));
-  bell_->ring();
+  bell_->wake();
 }
 
 void Host::do_now(const std::function<void()>& task) {
--- a/src/standin/host.h
+++ b/src/standin/host.h
@@ -12,7 +12,7 @@
 #include <thread>
 #include <vector>
 
-#include "net/link.h"
+#include "net/waker.h"
 
 namespace firvalve::standin {
 
@@ -32,7 +32,6 @@
   void after(Ms wait, std::function<void()> task);
 
  private:
-  class Bell;
   void run_posted();
   Ms turn(Ms now);
 
@@ -40,7 +39,7 @@
   std::mutex mutex_;
   std::vector<std::function<void()>> posted_;
   std::multimap<Ms, std::function<void()>> timers_;
-  std::unique_ptr<Bell> bell_;
+  std::unique_ptr<net::Waker> bell_;
   std::thread thread_;
 };
 
--- a/tests/client/client_gateway_test.cpp
+++ b/tests/client/client_gateway_test.cpp
@@ -7,18 +7,13 @@
 #include <thread>
 
 #include "client/client.h"
+#include "soon.h"
 #include "standin/fleet.h"
 #include "standin/process.h"
 
 namespace firvalve::client {
 namespace {
 
-template <class Condition>
-bool soon(Condition&& condition) {
-  for (int i = 0; i < 20000 && !condition(); ++i) ::usleep(1000);
-  return condition();
-}
-
 struct ClientGateway : testing::Test {
   standin::Fleet fleet{3};
   std::string address = standin::free_address();
--- a/tests/client/client_test.cpp
+++ b/tests/client/client_test.cpp
@@ -12,18 +12,12 @@
 #include <future>
 #include <thread>
 
+#include "soon.h"
 #include "standin/gateway.h"
 
 namespace firvalve::client {
 namespace {
 
-// Waits for what comes within milliseconds; false after 20 s.
-template <class Condition>
-bool soon(Condition&& condition) {
-  for (int i = 0; i < 20000 && !condition(); ++i) ::usleep(1000);
-  return condition();
-}
-
 struct ClientTest : testing::Test {
   standin::Host host;
   standin::Gateway gateway{host};
--- a/tests/gateway/gateway_test.cpp
+++ b/tests/gateway/gateway_test.cpp
@@ -11,6 +11,7 @@
 #include <memory>
 
 #include "proto/base64.h"
+#include "soon.h"
 #include "standin/fleet.h"
 #include "standin/process.h"
 
@@ -87,11 +88,6 @@
   static bool has(const std::string& text, const std::string& part) {
     return text.find(part) != std::string::npos;
   }
-  template <class Condition>
-  static bool soon(Condition&& condition) {
-    for (int i = 0; i < 10000 && !condition(); ++i) ::usleep(1000);
-    return condition();
-  }
 
   standin::Fleet fleet_{1};
   standin::Engine& engine_ = fleet_.engine(0);
--- a/tests/gateway/spool_gateway_test.cpp
+++ b/tests/gateway/spool_gateway_test.cpp
@@ -13,6 +13,7 @@
 
 #include "client/client.h"
 #include "proto/jsonrpc/reply.h"
+#include "soon.h"
 #include "standin/fleet.h"
 #include "standin/process.h"
 
@@ -23,12 +24,6 @@
 using client::Pages;
 using Next = Pages::Next;
 
-template <class Condition>
-bool soon(Condition&& condition) {
-  for (int i = 0; i < 20000 && !condition(); ++i) ::usleep(1000);
-  return condition();
-}
-
 struct SpoolGateway : testing::Test {
   std::string folder = [] {
     char name[] = "/tmp/firvalve-spool-XXXXXX";
@@ -230,6 +225,25 @@
   EXPECT_EQ(read_all(pages), std::pair(Next::kEnd, 6));
 }
 
+TEST_F(SpoolGateway, ASpoolLargerThanHalfTheGatewaysMemoryIsRefused) {
+  std::ofstream(folder + "/operator.json5") << R"({"spool": {"on": true, "memory_mb": 100}})";
+  standin::Process gateway(FIRVALVE_PROGRAM, fleet.config(address),
+                           {"--operator", folder + "/operator.json5"});
+  EXPECT_EQ(gateway.wait(), 1);
+}
+
+TEST_F(SpoolGateway, AFaultyOperatorsFileInServiceChangesNothingAndTheBusStillMoves) {
+  start("");
+  standin::Bus moved(fleet.host());
+  std::string config = fleet.config(address);
+  config.replace(config.find(fleet.bus().address()), fleet.bus().address().size(), moved.address());
+  process->rewrite(config);
+  std::ofstream(folder + "/operator.json5") << "{ cut";
+  process->signal(SIGHUP);
+  EXPECT_TRUE(soon([&] { return !moved.asked_from().empty(); }));
+  EXPECT_EQ(ask("select 1 /*! pages=2 */").pages, 2u);
+}
+
 // A client that says its first try again under its mark, over another connection.
 struct Raw {
   explicit Raw(const std::string& address) { socket.connect(Poco::Net::SocketAddress(address)); }
