--- a/src/client/plan.cpp
+++ b/src/client/plan.cpp
@@ -179,7 +179,8 @@
   c.replayable = replayable;
   c.deadline = deadline;
   c.only = only;
-  c.profile = profile_of(profile);
+  // What is for one gateway alone has a line of its own: it must not keep others waiting behind it.
+  c.profile = profile_of(only < 0 ? profile : fmt::format("{}\n{}", profile, only));
   deadlines_.insert({deadline, no});
   if (c.profile < 0) return finish(now, at, End::kRefused, false, 0, "too many profiles");
   if (calls_.size() > terms_.open_most)
--- a/tests/client/plan_test.cpp
+++ b/tests/client/plan_test.cpp
@@ -367,6 +367,24 @@
   EXPECT_EQ(end_of(1)->end, End::kUnknown);
 }
 
+TEST_F(PlanTest, ACallForAGatewayThatIsLeftKeepsNoneForAnotherWaiting) {
+  open(2);
+  plan->call(now, 1, "page", true, now + 20000, 0);
+  PlanActions a = step(now);
+  ASSERT_TRUE(find(a, Kind::kConnect));
+  EXPECT_EQ(find(a, Kind::kConnect)->gateway, 0);
+  plan->link_lost(now, find(a, Kind::kConnect)->link, Loss::How::kRefused);
+  step(now);
+  plan->call(now, 2, "page", true, now + 20000, 1);
+  a = step(now);
+  ASSERT_TRUE(find(a, Kind::kConnect));
+  EXPECT_EQ(find(a, Kind::kConnect)->gateway, 1);
+  plan->link_up(now, find(a, Kind::kConnect)->link);
+  a = step(now);
+  ASSERT_TRUE(find(a, Kind::kSend));
+  EXPECT_EQ(find(a, Kind::kSend)->call, 2u);
+}
+
 TEST_F(PlanTest, MostRefusedStopsCallsHere) {
   terms.retry_share = 0;
   open();
