--- a/src/lab/load.cpp
+++ b/src/lab/load.cpp
@@ -196,20 +196,20 @@
   std::signal(SIGINT, [](int) { interrupted = 1; });
   o.command.effect = o.effect == "replayable" ? client::Effect::kReplayable : client::Effect::kNonReplayable;
   o.search.cpu_most = 0.9 * (2.0 * o.threads);  // a sender and a socket thread each
-  Player player(o);
   if (!o.json)
     std::printf("%9s %9s %9s %8s %8s %8s %8s %7s  %s\n", "asked/s", "answer/s", "in 100", "p50 ms", "p90 ms",
                 "p99 ms", "most ms", "cores", "");
   if (o.closed > 0) {
     Meter meter;
-    const StepOutcome step = player.closed(o.closed, meter);
+    const StepOutcome step = Player(o).closed(o.closed, meter);
     tell(o, step, meter, interrupted ? "interrupted" : "");
     return 0;
   }
   Search search(o.search);
   while (!search.done() && !interrupted) {
     Meter meter;
-    const StepOutcome step = player.open(search.rate(), meter);
+    // New clients a step: what those of the last one were refused would keep them from asking.
+    const StepOutcome step = Player(o).open(search.rate(), meter);
     const std::string why = search.hear(step);
     tell(o, step, meter, why);
   }
--- a/src/lab/main.cpp
+++ b/src/lab/main.cpp
@@ -1,11 +1,13 @@
 // firvalve-lab: the project's laboratory. None of it is linked into the gateway.
 #include "lab/load.h"
+#include "lab/run.h"
 
 int main(int argc, char** argv) {
   CLI::App app("The laboratory of firvalve.", "firvalve-lab");
   int exit_code = 0;
   app.require_subcommand(1);
   firvalve::lab::add_load(app, exit_code);
+  firvalve::lab::add_run(app, exit_code);
   try {
     app.parse(argc, argv);
   } catch (const CLI::ParseError& e) {
--- /dev/null
+++ b/src/lab/run.h
@@ -0,0 +1,10 @@
+// `firvalve-lab run`: a world in virtual time, told on the line.
+#pragma once
+
+#include <CLI/CLI.hpp>
+
+namespace firvalve::lab {
+
+void add_run(CLI::App& app, int& exit_code);
+
+}  // namespace firvalve::lab
--- a/tests/lab/lab_test.cpp
+++ b/tests/lab/lab_test.cpp
@@ -6,6 +6,7 @@
 
 #include "lab/checker.h"
 #include "lab/histogram.h"
+#include "lab/queue.h"
 #include "lab/search.h"
 
 namespace firvalve::lab {
@@ -39,6 +40,32 @@
   EXPECT_EQ(h.count(), 14u);
 }
 
+RC_GTEST_PROP(EventQueueProperty, GivesWhatAStableSortGives,
+              (const std::vector<std::pair<uint8_t, bool>>& steps)) {
+  EventQueue<int> queue;
+  std::vector<std::pair<double, int>> plain;  // in the order put in
+  int number = 0;
+  const auto take_first = [&] {
+    auto first = plain.begin();
+    for (auto at = plain.begin(); at != plain.end(); ++at)
+      if (at->first < first->first) first = at;
+    RC_ASSERT(queue.next_at() == first->first);
+    RC_ASSERT(queue.take() == first->second);
+    plain.erase(first);
+  };
+  for (const auto& [at, take] : steps) {
+    if (take && !plain.empty()) {
+      take_first();
+    } else {
+      queue.put(at % 16, ++number);
+      plain.emplace_back(at % 16, number);
+    }
+    RC_ASSERT(queue.size() == plain.size());
+  }
+  while (!plain.empty()) take_first();
+  RC_ASSERT(queue.empty());
+}
+
 // ---- Where service breaks -----------------------------------------------------------------------
 
 StepOutcome step(double rate, double limit) {
