One way to end an unsent call, to revoke, to back off; keeping takes back a place in one spot

Need: reading the whole change again: the client's plan wrote the end of an unsent call three times, a revocation, a close and the jitter twice each, and two branches with one body; Keeping silenced its listener three times to take back a place, renewed a lease in three places, and had a look-up and parameters that nobody used. Change: end_unsent, revoke, close, backoff in the plan; remove and lend in Keeping; dead parts out. Behaviour as it was: the same draws in the same order. The gateway's own path (line run) is not touched.

--- a/src/client/plan.cpp
+++ b/src/client/plan.cpp
@@ -115,13 +115,7 @@
   Call& c = at->second;
   if (c.place == Place::kOut) {
     c.may_have_run = true;
-    PlanAction a;
-    a.kind = PlanAction::Kind::kRevoke;
-    a.link = c.link;
-    a.id = c.id;
-    a.req = hex(c.req);
-    pending_.push_back(std::move(a));
-    ++stats_.revoked;
+    revoke(c);
   }
   const End end = !c.replayable && c.may_have_run ? End::kUnknown : End::kExpired;
   finish(now, at, end, cancelled, 0, why);
@@ -162,12 +156,37 @@
 // The last send of a call is proved not to have run: refused, or not wholly written.
 void Plan::proved_unrun(Ms now, CallMap::iterator at, Ms from, const char* why) {
   if (again(now, at, from)) return;
-  const Call& c = at->second;
-  if (c.may_have_run) return finish(now, at, End::kUnknown, false, 0, why);
-  const Ms usable = usable_at(now, c);
+  end_unsent(now, at, why);
+}
+
+// It is out nowhere and goes out no more.
+void Plan::end_unsent(Ms now, CallMap::iterator at, const char* why) {
+  if (at->second.may_have_run) return finish(now, at, End::kUnknown, false, 0, why);
+  const Ms usable = usable_at(now, at->second);
   finish(now, at, End::kRefused, false, usable > now ? usable - now : 0, why);
 }
 
+Ms Plan::backoff(const Call& c) {
+  return draw() * std::min(terms_.backoff * std::pow(2.0, c.sends - 1), terms_.backoff_most);
+}
+
+void Plan::revoke(const Call& c) {
+  PlanAction a;
+  a.kind = PlanAction::Kind::kRevoke;
+  a.link = c.link;
+  a.id = c.id;
+  a.req = hex(c.req);
+  pending_.push_back(std::move(a));
+  ++stats_.revoked;
+}
+
+void Plan::close(LinkNo link) {
+  PlanAction a;
+  a.kind = PlanAction::Kind::kClose;
+  a.link = link;
+  pending_.push_back(std::move(a));
+}
+
 // ---- Events -------------------------------------------------------------------------------------
 
 void Plan::call(Ms now, CallNo no, const std::string& profile, bool replayable, Ms deadline, int only) {
@@ -246,10 +265,7 @@
     ++stats_.late_answers;
     // A number that was never given: whatever follows can be no better.
     if (r.id < 1 || r.id > l.last_id) {
-      PlanAction a;
-      a.kind = PlanAction::Kind::kClose;
-      a.link = no;
-      pending_.push_back(std::move(a));
+      close(no);
       drop_link(now, no, Loss::How::kSpoilt, {});
     }
     return 0;
@@ -266,8 +282,7 @@
       until = std::max(until, now + std::min(r.holdoff, terms_.holdoff_most));
       hopeless_look_ = true;
     }
-    const Ms most = std::min(terms_.backoff * std::pow(2.0, c.sends - 1), terms_.backoff_most);
-    proved_unrun(now, at, now + draw() * most, "refused");
+    proved_unrun(now, at, now + backoff(c), "refused");
     return 0;
   }
   throttle.taken(now);
@@ -348,19 +363,15 @@
   if (loss.others_up == 0) g.asked_marks = g.marks = false;  // what comes up next may be another program
   if (!l.up && loss.others_up > 0) g.grow_at = now + draw() * terms_.spread.spread;
   const bool outage = l.trial || is_outage(loss, terms_.spread);
-  if (l.trial && g.standing.phase() == Standing::Phase::kTrying) {
-    leave_gateway(now, l.gateway, kWhy[static_cast<size_t>(how)]);
-  } else if (outage && g.standing.well()) {
+  if ((l.trial && g.standing.phase() == Standing::Phase::kTrying) || (outage && g.standing.well()))
     leave_gateway(now, l.gateway, kWhy[static_cast<size_t>(how)]);
-  }
 
   for (const auto& [id, call] : l.open) {
     const auto lost = calls_.find(call);
     Call& c = lost->second;
     g.open -= 1;
     c.place = Place::kNone;
-    const Ms most = std::min(terms_.backoff * std::pow(2.0, c.sends - 1), terms_.backoff_most);
-    const Ms from = outage ? now + draw() * most : now;
+    const Ms from = outage ? now + backoff(c) : now;
     if (unsent.count(id)) {
       proved_unrun(now, lost, from, "its connection ended before it was sent whole");
       continue;
@@ -380,7 +391,7 @@
 
 // Ends what has had its time: connections that do not come up, that rest, that say nothing.
 void Plan::watch_links(Ms now) {
-  std::vector<LinkNo> close, never, silent;
+  std::vector<LinkNo> rested, never, silent;
   for (auto& [no, l] : links_) {
     if (!l.up) {
       if (now >= l.made_at + terms_.connect) never.push_back(no);
@@ -389,7 +400,7 @@
     if (l.open.empty() && !l.trial) {
       const bool used_up = l.last_id >= terms_.ids_a_link;
       if (l.silent || used_up || (now >= l.passed_at + terms_.idle && l.heartbeat == 0)) {
-        close.push_back(no);
+        rested.push_back(no);
         continue;
       }
     }
@@ -400,25 +411,19 @@
       ask_heartbeat(now, no, l);
     }
   }
-  const auto close_link = [&](LinkNo no) {
-    PlanAction a;
-    a.kind = PlanAction::Kind::kClose;
-    a.link = no;
-    pending_.push_back(std::move(a));
-  };
   for (const LinkNo no : never) {
-    close_link(no);
+    close(no);
     drop_link(now, no, Loss::How::kNeverUp, {});
   }
-  for (const LinkNo no : close) {
-    close_link(no);
+  for (const LinkNo no : rested) {
+    close(no);
     gateways_[static_cast<size_t>(links_.at(no).gateway)].links -= 1;
     links_.erase(no);
   }
   for (const LinkNo no : silent) {
     Link& l = links_.at(no);
     if (l.trial || l.open.empty()) {
-      close_link(no);
+      close(no);
       l.trial = true;  // it failed as one
       Standing& standing = gateways_[static_cast<size_t>(l.gateway)].standing;
       if (standing.well()) standing.trying();
@@ -436,13 +441,7 @@
         movable.push_back(call);
     for (const CallNo call : movable) {
       const auto at = calls_.find(call);
-      PlanAction a;
-      a.kind = PlanAction::Kind::kRevoke;
-      a.link = no;
-      a.id = at->second.id;
-      a.req = hex(at->second.req);
-      pending_.push_back(std::move(a));
-      ++stats_.revoked;
+      revoke(at->second);
       at->second.may_have_run = true;
       leave_place(at->second, call);
       if (!again(now, at, now)) finish(now, at, End::kUnknown, false, 0, "gateway silent");
@@ -490,12 +489,7 @@
   std::sort(hopeless.begin(), hopeless.end());
   for (const CallNo no : hopeless) {
     const auto at = calls_.find(no);
-    const Call& c = at->second;
-    const Ms back = usable_at(now, c) - now;
-    if (c.may_have_run)
-      finish(now, at, End::kUnknown, false, 0, "no gateway within the time left");
-    else
-      finish(now, at, End::kRefused, false, back, "no gateway within the time left");
+    end_unsent(now, at, "no gateway within the time left");
   }
 }
 
@@ -632,10 +626,7 @@
   if (!link) return false;
   if (c.sends > 0 && !c.free_repeat && !budget_.may_repeat(now, reserved_ - 1)) {
     // The first tries that its place was taken by have left the window meanwhile.
-    if (c.may_have_run)
-      finish(now, at, End::kUnknown, false, 0, "no repeats left");
-    else
-      finish(now, at, End::kRefused, false, 0, "no repeats left");
+    end_unsent(now, at, "no repeats left");
     return true;
   }
   send(now, no, c, link);
--- a/src/client/plan.h
+++ b/src/client/plan.h
@@ -161,6 +161,10 @@
   void finish(Ms now, CallMap::iterator at, End end, bool cancelled, Ms come_back, std::string why);
   void give_up(Ms now, CallMap::iterator at, bool cancelled, const char* why);
   bool again(Ms now, CallMap::iterator at, Ms from);
+  void end_unsent(Ms now, CallMap::iterator at, const char* why);
+  Ms backoff(const Call& c);  // full jitter
+  void revoke(const Call& c);
+  void close(LinkNo link);
   void proved_unrun(Ms now, CallMap::iterator at, Ms from, const char* why);
   void drop_link(Ms now, LinkNo no, Loss::How how, const std::set<int64_t>& unsent);
   void leave_gateway(Ms now, int gateway, const char* why);
--- a/src/spool/keeping.cpp
+++ b/src/spool/keeping.cpp
@@ -30,7 +30,7 @@
   rank(*r.owner, r.owner->held + memory + disk + reserved);
 }
 
-Keeping::Result& Keeping::add(Ms, const std::string& name) {
+Keeping::Result& Keeping::add(const std::string& name) {
   auto& owner = owners_[name];
   if (!owner) {
     owner = std::make_unique<Owner>();
@@ -46,9 +46,9 @@
   return r;
 }
 
-void Keeping::forget(ResultNo no, Gone why) {
+bool Keeping::remove(ResultNo no) {
   const auto at = results_.find(no);
-  if (at == results_.end()) return;
+  if (at == results_.end()) return false;
   const std::unique_ptr<Result> r = std::move(at->second);
   results_.erase(at);
   charge(*r, -r->memory, -r->disk, -r->reserved);
@@ -59,11 +59,21 @@
     by_held_.erase({owner.held, &owner});
     owners_.erase(owners_.find(owner.name));
   }
-  if (on_gone) on_gone(no, why);
+  return true;
+}
+
+void Keeping::forget(ResultNo no, Gone why) {
+  if (remove(no) && on_gone) on_gone(no, why);
+}
+
+void Keeping::lend(Result& r, Ms until) {
+  r.by_read.unlink();
+  r.owner->whole.push_back(r);
+  leases_.put(r, tick_of(until));
 }
 
 // What is on disk costs nothing to take out of memory: it is read from there.
-bool Keeping::leave_memory(const Result*) {
+bool Keeping::leave_memory() {
   if (cached_.empty()) return false;
   const ResultNo no = *cached_.begin();
   cached_.erase(cached_.begin());
@@ -103,27 +113,20 @@
   const double most = on_disk ? terms_.disk : terms_.memory;
   if (bytes > most) return false;
   while ((on_disk ? disk_ : memory_ + reserved_) + bytes > most) {
-    if (!on_disk && leave_memory(not_this)) continue;
+    if (!on_disk && leave_memory()) continue;
     if (!evict(on_disk, bytes, not_this, asks)) return false;
   }
   return true;
 }
 
-ResultNo Keeping::reserve(Ms now, const std::string& owner, double expected) {
+ResultNo Keeping::reserve(Ms, const std::string& owner, double expected) {
   // A place is never more than a part of all: what turns out larger moves to disk as it comes.
   const double bytes = std::min({expected, terms_.result_most, terms_.memory});
-  Result& r = add(now, owner);
+  Result& r = add(owner);
   const ResultNo no = r.no;
-  if (results_.size() > terms_.results_most && !evict(false, bytes, &r, *r.owner)) {
-    const auto told = std::exchange(on_gone, nullptr);
-    forget(no, Gone::kGivenUp);
-    on_gone = told;
-    return 0;
-  }
-  if (!make_room(false, bytes, &r, *r.owner)) {
-    const auto told = std::exchange(on_gone, nullptr);  // nobody knows of it yet
-    forget(no, Gone::kGivenUp);
-    on_gone = told;
+  const bool too_many = results_.size() > terms_.results_most && !evict(false, bytes, &r, *r.owner);
+  if (too_many || !make_room(false, bytes, &r, *r.owner)) {
+    remove(no);  // nobody knows of it yet
     return 0;
   }
   charge(r, 0, 0, bytes);
@@ -168,8 +171,7 @@
   Result& r = *at->second;
   charge(r, 0, 0, -r.reserved);
   r.whole = true;
-  r.owner->whole.push_back(r);
-  leases_.put(r, tick_of(now + terms_.lease));
+  lend(r, now + terms_.lease);
 }
 
 void Keeping::clear(ResultNo no) {
@@ -182,17 +184,14 @@
 }
 
 ResultNo Keeping::restore(Ms now, const std::string& owner, double bytes, Ms lease_left) {
-  Result& r = add(now, owner);
+  Result& r = add(owner);
   if (!make_room(true, bytes, &r, *r.owner)) {
-    const auto told = std::exchange(on_gone, nullptr);
-    forget(r.no, Gone::kGivenUp);
-    on_gone = told;
+    remove(r.no);
     return 0;
   }
   charge(r, 0, bytes, 0);
   r.whole = true;
-  r.owner->whole.push_back(r);
-  leases_.put(r, tick_of(now + std::min(lease_left, terms_.lease)));
+  lend(r, now + std::min(lease_left, terms_.lease));
   return r.no;
 }
 
@@ -201,17 +200,10 @@
   if (at == results_.end()) return false;
   Result& r = *at->second;
   if (!r.whole) return false;
-  r.by_read.unlink();
-  r.owner->whole.push_back(r);
-  leases_.put(r, tick_of(now + terms_.lease));
+  lend(r, now + terms_.lease);
   return true;
 }
 
-bool Keeping::in_memory(ResultNo no) const {
-  const auto at = results_.find(no);
-  return at != results_.end() && at->second->memory > 0;
-}
-
 void Keeping::due(Ms now) {
   leases_.advance(static_cast<uint64_t>(now / kTick),
                   [&](index::WheelNode& node) { forget(static_cast<Result&>(node).no, Gone::kLeaseOver); });
--- a/src/spool/keeping.h
+++ b/src/spool/keeping.h
@@ -68,7 +68,6 @@
   void due(Ms now);     // ends leases
   Ms next_due() const;  // 0: nothing is due
   bool has(ResultNo no) const { return results_.count(no) > 0; }
-  bool in_memory(ResultNo no) const;
   double memory() const { return memory_ + reserved_; }
   double disk() const { return disk_; }
   size_t results() const { return results_.size(); }
@@ -103,12 +102,14 @@
   static constexpr double kTick = 16;  // ms of the wheel's ticks: leases are seconds
   static uint64_t tick_of(Ms at) { return static_cast<uint64_t>(at / kTick) + 1; }
 
-  Result& add(Ms now, const std::string& owner);
+  Result& add(const std::string& owner);
+  bool remove(ResultNo no);        // without a word to the owner of on_gone
+  void lend(Result& r, Ms until);  // whole, the latest read
   void charge(Result& r, double memory, double disk, double reserved);
   void rank(Owner& owner, double held);
   // Whether so many bytes fit, once others have left memory or gone.
   bool make_room(bool on_disk, double bytes, const Result* not_this, Owner& asks);
-  bool leave_memory(const Result* not_this);
+  bool leave_memory();
   bool evict(bool on_disk, double bytes, const Result* not_this, Owner& asks);
   double fair_share() const;
 
