A refused connection ends no send; Not-Begun counts only in the answer to a start

Each first wrong command was followed by its id with a trace of takes, sends, calls and their ends. Engines::lost() took the refusal as the process's death in two places: for a give-up ("died ? end(id, send.as)") and for an ask ("died ? end(id, Outcome::kReset)").

A refusal proves only that what was to begin on that connection has not begun. An ask or a give-up then goes over the first connection to that engine that comes free, or a new one at growing intervals, until a query unasked for has ended by itself; connections to an engine that has gone are kept while something runs there, and a connection keeps the address it was made for. Not-Begun is believed in the answer to the start alone, and the connection that brought it is not used again (a second copy on its way would answer the next start). A connection refused at once is told as refused, not as silent after 250 ms. The stand-in's listener is closed on exec: a started gateway kept it open, so a dead engine went on accepting.

--- a/src/net/engines.cpp
+++ b/src/net/engines.cpp
@@ -15,14 +15,20 @@
 
 class Engines::Connection : public Link {
  public:
-  Connection(Engines& owner, uint32_t engine, const Poco::Net::SocketAddress& address)
-      : Link(owner.loop_, address), engine(engine), reader(owner.page_most_), owner_(owner) {}
+  Connection(Engines& owner, uint32_t engine, const std::string& host)
+      : Link(owner.loop_, Poco::Net::SocketAddress(host)),
+        engine(engine),
+        host(host),
+        reader(owner.page_most_),
+        owner_(owner) {}
 
   const uint32_t engine;
+  const std::string host;  // the address it goes to, which may be another engine's by now
   Task task = Task::kIdle;
   uint64_t send = 0;
   std::string call;        // an errand's
   bool ends_send = false;  // the errand gives up a send
+  bool starts = false;     // its call is the start of a send
   Ms since = 0;            // idle, connecting or at its task
   proto::HttpReader reader;
 
@@ -45,7 +51,8 @@
       owner_.counters_.add(task == Task::kIdle ? "engine answers unasked for" : "engine answers unreadable");
       answer = {};  // status 0
     }
-    answer.keeps &= answer.status != 0 && behind.empty();
+    // A second copy of such a word that is still on its way would be taken for the answer to the next start.
+    answer.keeps &= answer.status != 0 && behind.empty() && !answer.not_begun;
     reader.reset();
     owner_.hear(*this, answer);
   }
@@ -59,12 +66,12 @@
     : loop_(loop), counters_(counters), times_(times) {}
 Engines::~Engines() = default;
 
-// An engine that has gone keeps its address for what still runs there, until that is another's.
+// An engine that has gone keeps its address, until that is another's, and its connections for what still runs
+// there: it takes no new ones.
 void Engines::list(Ms, uint32_t engine, std::string_view address, Life life) {
-  Pool& pool = pools_[engine];
   const bool gone = life == Life::kGone;
-  if (gone || pool.address != address)
-    while (!pool.idle.empty()) drop(*pool.idle.back());
+  if (Pool& had = pools_[engine]; gone ? had.sends == 0 : had.address != address) drop_idle(engine);
+  Pool& pool = pools_[engine];
   pool.gone = gone;
   if (gone) return forget(engine);
   for (auto& [other, p] : pools_)
@@ -80,7 +87,7 @@
 
 Engines::Connection* Engines::link_to(uint32_t engine, Ms now) {
   const auto at = pools_.find(engine);
-  if (at == pools_.end() || at->second.address.empty()) return nullptr;
+  if (at == pools_.end()) return nullptr;
   // The one that has rested longest, so that whatever may still follow its last answer has come by now.
   while (!at->second.idle.empty()) {
     Connection* const link = at->second.idle.front();
@@ -91,12 +98,13 @@
     at->second.idle.erase(at->second.idle.begin());
     return link;
   }
+  if (at->second.address.empty()) return nullptr;
   if (!loop_.room(false)) {
     counters_.add("engine connections not had for want of descriptors");
     return nullptr;
   }
   try {
-    auto link = std::make_unique<Connection>(*this, engine, Poco::Net::SocketAddress(at->second.address));
+    auto link = std::make_unique<Connection>(*this, engine, at->second.address);
     Connection* const key = link.get();
     begin(*key, now);
     at->second.links[key] = std::move(link);
@@ -121,6 +129,11 @@
   forget(link.engine);
 }
 
+void Engines::drop_idle(uint32_t engine) {
+  const std::vector<Connection*> idle = pools_.at(engine).idle;  // the pool may end with the last of them
+  for (Connection* const link : idle) drop(*link);
+}
+
 // A new task, or a new call of one, with its own time.
 void Engines::begin(Connection& link, Ms now) {
   link.since = now;
@@ -132,8 +145,10 @@
   link.send = 0;
   begin(link, now);
   Pool& pool = pools_.at(link.engine);
-  if (pool.gone || pool.address.empty()) return drop(link);
+  if (pool.sends == 0 && (pool.gone || pool.address.empty())) return drop(link);
   pool.idle.push_back(&link);
+  for (const auto& [id, send] : sends_)
+    if (send.refused_since > 0 && send.order.engine == link.engine) look_at_ = now;
 }
 
 void Engines::start(Ms now, const Order& order) {
@@ -165,8 +180,9 @@
   const auto at = sends_.find(link.send);
   if (link.task != Task::kSend || at == sends_.end()) return rest(link, now);
   Send& send = at->second;
-  const std::string& host = pools_.at(link.engine).address;
+  const std::string& host = link.host;
   std::string call;
+  link.starts = !send.told;
   if (send.told) {
     send.query.append_ask(call, send.order.command, host);
   } else {
@@ -183,8 +199,26 @@
 void Engines::ask(uint64_t id, Ms now) {
   Send& send = sends_.at(id);
   send.ask_at = 0;
-  if (Connection* const link = link_to(send.order.engine, now)) return give(*link, id, send, now);
-  ask_later(send, now);
+  Connection* const link = link_to(send.order.engine, now);
+  if (!link) return ask_past_refusal(id, now);
+  send.ends_at > 0 ? errand(*link, id, {}, true, now) : give(*link, id, send, now);
+}
+
+Ms Engines::unasked_end(const Send& send) {
+  return send.asked_at + proto::kNewsWait + proto::kUnaskedMost + kWaySlack;
+}
+
+// Guards against taking an engine that refuses connections for a dead one: one that drains, or whose table is
+// full, does so while all that it has begun runs on, and a second send would run beside the first. Whether it
+// has died is not to be told, so nothing ends by a refusal: it is asked over the first connection to it that
+// comes free, or over a new one at growing intervals, until a query unasked for has ended by itself. Where
+// the engine did die, that costs its commands this time before they go elsewhere.
+void Engines::ask_past_refusal(uint64_t id, Ms now) {
+  Send& send = sends_.at(id);
+  const Ms over = send.ends_at > 0 ? send.ends_at : unasked_end(send);
+  if (now >= over) return end(id, send.ends_at > 0 ? send.as : Outcome::kReset);
+  if (send.refused_since == 0) send.refused_since = now;
+  ask_later(send, now, std::min(over - now, std::max(proto::kNewsWait, now - send.refused_since)));
 }
 
 void Engines::ask_later(Send& send, Ms now, Ms wait) {
@@ -216,7 +250,8 @@
   if (task == Task::kSend) {
     Send& send = sends_.at(id);
     send.told = true;
-    const proto::Query::Step step = send.query.hear(answer);
+    send.refused_since = 0;
+    const proto::Query::Step step = send.query.hear(answer, link.starts);
     if (step.noted) core_->noted(now, id, step.note, step.value);
     bool slow = false;
     if (send.order.paged && send.query.has_rows()) {
@@ -225,7 +260,7 @@
         // The query ends here; the core has told its clients, and the module withdraws a send that is no
         // more.
         send.on = nullptr;
-        errand(send.order.engine, id, {}, false, now);
+        errand(id, {}, now);
         end(id, Outcome::kCancelled);
         return keeps ? rest(link, now) : drop(link);
       }
@@ -246,7 +281,7 @@
       // After a call of which nobody knows whether it came, an engine that knows nothing of the query is not
       // at fault.
       // All of it is here: the engine need hold it no longer. A plain result ends by itself, as it did.
-      if (step.outcome == Outcome::kOk && send.order.paged) errand(send.order.engine, id, {}, false, now);
+      if (step.outcome == Outcome::kOk && send.order.paged) errand(id, {}, now);
       const bool blameless = step.outcome == Outcome::kFailed && send.spoilt_since > 0;
       end(id, blameless ? Outcome::kSpoilt : step.outcome, send.query.take_rows());
     } else if (step.next == proto::Query::Next::kAsk) {
@@ -266,9 +301,8 @@
 }
 
 // A connection has ended, or its call has had no answer in its time. What that proves: one that never came
-// up, or took only part of the start, has begun nothing. Else the query may run on; only a process that
-// refuses to be asked is known to have died, and the query with it; a connection that is reset when new says
-// nothing.
+// up, or took only part of the start, has begun nothing. Else the query may run on, whatever becomes of the
+// connections that ask for it.
 void Engines::lost(Connection& link, Loss loss) {
   const Ms now = loop_.now();
   const uint64_t id = link.send;
@@ -278,14 +312,13 @@
   const auto at = sends_.find(id);
   if (at == sends_.end()) return;
   Send& send = at->second;
-  const bool died = loss == Loss::kRefused;
-  if (task == Task::kErrand && ends_send)
-    return died ? end(id, send.as) : errand(send.order.engine, id, {}, true, now);
+  const bool refused = loss == Loss::kRefused;
+  if (task == Task::kErrand && ends_send) return refused ? ask_past_refusal(id, now) : ask(id, now);
   if (task != Task::kSend) return;
   send.on = nullptr;
   if (!send.told && (!was_up || unsent)) return end(id, Outcome::kConnectFailed);
   send.told = true;
-  died ? end(id, Outcome::kReset) : ask_again(id, now);
+  refused ? ask_past_refusal(id, now) : ask_again(id, now);
 }
 
 void Engines::withdraw(Ms now, uint64_t id, Outcome as) {
@@ -315,7 +348,7 @@
   send.ask_at = 0;
   send.ends_at = std::min(now, send.asked_at + proto::kNewsWait) + proto::kUnaskedMost + kWaySlack;
   look_at_ = sooner(look_at_, send.ends_at);
-  errand(send.order.engine, id, {}, true, now);
+  ask(id, now);
 }
 
 void Engines::rank(Ms now, uint64_t id, int priority) {
@@ -326,19 +359,22 @@
   std::string call;
   proto::append_priority(call, at->second.order.command, pools_.at(at->second.order.engine).address,
                          priority);
-  errand(at->second.order.engine, id, std::move(call), false, now);
+  errand(id, std::move(call), now);
+}
+
+void Engines::errand(uint64_t id, std::string call, Ms now) {
+  if (Connection* const link = link_to(sends_.at(id).order.engine, now))
+    errand(*link, id, std::move(call), false, now);
 }
 
-void Engines::errand(uint32_t engine, uint64_t id, std::string call, bool ends_send, Ms now) {
-  Connection* const link = link_to(engine, now);
-  if (!link) return;
-  if (call.empty()) proto::append_give_up(call, sends_.at(id).order.command, pools_.at(engine).address);
-  link->task = Task::kErrand;
-  link->send = id;
-  link->call = std::move(call);
-  link->ends_send = ends_send;
-  begin(*link, now);
-  if (link->up()) carry(*link, now);
+void Engines::errand(Connection& link, uint64_t id, std::string call, bool ends_send, Ms now) {
+  if (call.empty()) proto::append_give_up(call, sends_.at(id).order.command, link.host);
+  link.task = Task::kErrand;
+  link.send = id;
+  link.call = std::move(call);
+  link.ends_send = ends_send;
+  begin(link, now);
+  if (link.up()) carry(link, now);
 }
 
 void Engines::end(uint64_t id, Outcome outcome, std::string rows) {
@@ -347,7 +383,9 @@
   const uint32_t engine = at->second.order.engine;
   if (Connection* const link = at->second.on) drop(*link);
   sends_.erase(at);
-  pools_.at(engine).sends -= 1;
+  Pool& pool = pools_.at(engine);
+  pool.sends -= 1;
+  if (pool.sends == 0 && (pool.gone || pool.address.empty())) drop_idle(engine);
   forget(engine);
   endings_.push_back({id, outcome, std::move(rows)});
 }
@@ -358,7 +396,8 @@
   std::vector<uint64_t> ended, asked;
   for (const auto& [id, send] : sends_) {
     if (send.ends_at > 0 && now >= send.ends_at) ended.push_back(id);
-    if (send.ask_at > 0 && now >= send.ask_at) asked.push_back(id);
+    const bool free = send.refused_since > 0 && !pools_.at(send.order.engine).idle.empty();
+    if (send.ask_at > 0 && (now >= send.ask_at || free)) asked.push_back(id);
     for (const Ms at : {send.ends_at, send.ask_at})
       if (at > now) look_at_ = sooner(look_at_, at);
   }
@@ -372,11 +411,11 @@
       if (at > 0 && now >= at) late.push_back(link);
       if (at > now) look_at_ = sooner(look_at_, at);
     }
-  for (Connection* const link : late) lost(*link, Loss::kSilent);
+  for (Connection* const link : late) lost(*link, link->refused() ? Loss::kRefused : Loss::kSilent);
 }
 
 Ms Engines::ends_at(const Connection& link) const {
-  if (!link.up()) return link.since + times_.connect;
+  if (!link.up()) return link.since + (link.refused() ? 0 : times_.connect);
   if (link.task == Task::kIdle) return link.since + times_.idle - kIdleSlack;
   return link.since + (link.task == Task::kDiscard ? proto::kUnaskedMost : proto::kNewsWait + kWaySlack);
 }
--- a/src/net/engines.h
+++ b/src/net/engines.h
@@ -16,8 +16,8 @@
   struct Times {
     Ms connect = 0, idle = 0;  // until a connection must be up; until the engine closes an idle one
   };
-  // Bytes of a page; the platform's own figure unless the operator's file states another. What a paged result may
-  // have, the shelf decides.
+  // Bytes of a page; the platform's own figure unless the operator's file states another. What a paged result
+  // may have, the shelf decides.
   Engines(Loop& loop, Counters& counters, Times times);
   void limit_page(size_t bytes) { page_most_ = bytes; }
   ~Engines() override;
@@ -43,6 +43,7 @@
     Outcome as = Outcome::kCancelled;
     Ms asked_at = 0;                  // the last call for it that may have come to its engine
     Ms spoilt_since = 0, ask_at = 0;  // 0: not so; when to ask again, 0: not by itself
+    Ms refused_since = 0;             // no connection was to be had for it: one that is free is used at once
     Ms ends_at = 0;                   // 0: not by itself; set once it is given up
   };
   struct Pool {
@@ -59,7 +60,9 @@
   };
 
   Connection* link_to(uint32_t engine, Ms now);  // idle or new; null: none can be had
+  static Ms unasked_end(const Send& send);       // it has ended by then, unless it is asked for again
   void drop(Connection& link);
+  void drop_idle(uint32_t engine);
   void rest(Connection& link, Ms now);
   void carry(Connection& link, Ms now);  // the link is up: what it is for goes out
   void hear(Connection& link, const proto::HttpAnswer& answer);
@@ -69,10 +72,12 @@
   Ms ends_at(const Connection& link) const;  // 0: not by itself
   void look(Ms now);
   void give(Connection& link, uint64_t id, Send& send, Ms now);
-  void ask(uint64_t id, Ms now);
+  void ask(uint64_t id, Ms now);  // for its news, or that it be given up
+  void ask_past_refusal(uint64_t id, Ms now);
   void ask_again(uint64_t id, Ms now);
   void ask_later(Send& send, Ms now, Ms wait = proto::kNewsWait);
-  void errand(uint32_t engine, uint64_t send, std::string call, bool ends_send, Ms now);
+  void errand(Connection& link, uint64_t send, std::string call, bool ends_send, Ms now);
+  void errand(uint64_t send, std::string call, Ms now);  // one that nothing waits for
   void give_up(uint64_t id, Outcome as, Ms now);
   void end(uint64_t send, Outcome outcome, std::string rows = {});
   void forget(uint32_t engine);  // once it has gone and nothing of it is left
--- a/src/net/link.cpp
+++ b/src/net/link.cpp
@@ -27,7 +27,7 @@
     socket_.connectNB(address);
     socket_.setNoDelay(true);
   } catch (const Poco::Exception&) {
-    refused_ = true;  // told at the next turn, as every other end is
+    refused_ = true;
   }
   if (refused_) return;
   loop_.addEventHandler(socket_, Poco::NObserver<Link, ErrorNotification>(*this, &Link::on_error));
--- a/src/net/link.h
+++ b/src/net/link.h
@@ -32,6 +32,7 @@
   size_t unsent() const { return out_.size() - out_sent_; }
   bool up() const { return up_; }
   bool open() const { return open_; }
+  bool refused() const { return refused_; }  // at once, when it was to be connected: its owner ends it
   void read_on(bool on);
   void close();        // without a word to the subclass
   bool quiet() const;  // nothing has come that was not read, not even its end
--- a/src/proto/store/query.cpp
+++ b/src/proto/store/query.cpp
@@ -77,7 +77,10 @@
                  host);
 }
 
-Query::Step Query::hear(const HttpAnswer& answer) {
+// That it never ran is told by the answer to the start itself alone. Guards against a later call that a full
+// or draining engine turns away, or that a process in its place answers, while the query runs on: such a word
+// says nothing of it. It may cost a command that its engine gave up in line a second time to ask.
+Query::Step Query::hear(const HttpAnswer& answer, bool to_start) {
   Step step;
   const auto ended = [&](Outcome outcome) {
     step.next = Next::kEnded;
@@ -88,8 +91,8 @@
     step.noted = read_note(answer, step);
     return step;
   }
-  if (answer.status == 503 && answer.not_begun && page_ == 0) return ended(Outcome::kFull);
-  if (answer.status == 504 && answer.not_begun && page_ == 0) return ended(Outcome::kMoot);
+  if (answer.not_begun && to_start && answer.status == 503) return ended(Outcome::kFull);
+  if (answer.not_begun && to_start && answer.status == 504) return ended(Outcome::kMoot);
   if (answer.status == 500) return ended(Outcome::kFailed);
   // Guards against passing on what noise, cuts and wrong lengths have made of a good answer; the query has
   // run, and its engine gives the same again. Where the engine itself makes such pages, that costs the time
--- a/src/proto/store/query.h
+++ b/src/proto/store/query.h
@@ -41,7 +41,7 @@
     double value = 0;
   };
 
-  Step hear(const HttpAnswer& answer);
+  Step hear(const HttpAnswer& answer, bool to_start = false);  // to_start: it answers the start itself
   void append_ask(std::string& out, std::string_view id, std::string_view host) const;
   bool has_rows() const { return !rows_.empty(); }
   std::string take_rows() { return std::exchange(rows_, {}); }  // since the last taking
--- a/src/standin/engine.cpp
+++ b/src/standin/engine.cpp
@@ -129,6 +129,16 @@
       std::count_if(lines_.begin(), lines_.end(), [&](const auto& l) { return l.starts_with(start); }));
 }
 
+Ms Engine::first_call_at() const {
+  const std::lock_guard lock(mutex_);
+  return first_at_;
+}
+
+Ms Engine::last_call_at() const {
+  const std::lock_guard lock(mutex_);
+  return last_at_;
+}
+
 std::vector<Ms> Engine::held_after_ready() const {
   const std::lock_guard lock(mutex_);
   return held_;
@@ -138,6 +148,8 @@
   {
     const std::lock_guard lock(mutex_);
     lines_.push_back(call.line);
+    last_at_ = host_.loop().now();
+    if (first_at_ == 0) first_at_ = last_at_;
   }
   if (hangs_) {
     connection.waits = true;
@@ -163,6 +175,11 @@
     connection.write("HTTP/1.1 204 No Content\r\n\r\n");
     return;
   }
+  if (at != queries_.end() && at->second.script.ask_status > 0) {
+    at->second.asked_at = now;
+    const int status = at->second.script.ask_status;
+    return connection.write(http(fmt::format("{} No", status), status > 500 ? "Not-Begun: 1\r\n" : "", ""));
+  }
   const size_t slash = rest.find('/');
   const int page = slash == std::string_view::npos
                        ? 0
@@ -189,6 +206,7 @@
     const std::lock_guard lock(mutex_);
     ++runs_[call.statement];
   }
+  if (query.script.refuse) listener_->close();
   query.number = ++last_number_;
   if (const auto same = queries_.find(call.id); same != queries_.end()) leave(same);
   Query& kept = queries_[call.id] = std::move(query);
--- a/src/standin/engine.h
+++ b/src/standin/engine.h
@@ -33,6 +33,8 @@
   int runs_most() const;                         // of any one statement
   int started() const;                           // queries, of all statements
   int calls(const std::string& start) const;     // calls whose first line begins so
+  Ms first_call_at() const;                      // Unix ms; 0: none came
+  Ms last_call_at() const;
   // Of each query given up or ended since: how long it was held after its rows were ready, in ms.
   std::vector<Ms> held_after_ready() const;
 
@@ -75,6 +77,7 @@
   mutable std::mutex mutex_;
   std::map<std::string, int> runs_, broken_, spoilt_;  // by statement
   std::vector<std::string> lines_;
+  Ms first_at_ = 0, last_at_ = 0;
   std::vector<Ms> held_;
 };
 
--- a/src/standin/host.cpp
+++ b/src/standin/host.cpp
@@ -3,6 +3,7 @@
 #include <Poco/NObserver.h>
 #include <Poco/Net/NetException.h>
 #include <Poco/Net/StreamSocketImpl.h>
+#include <fcntl.h>
 #include <sys/socket.h>
 
 #include <future>
@@ -74,6 +75,7 @@
   socket_.bind(SocketAddress(address_.empty() ? address : address_), true);
   socket_.listen(1024);
   socket_.setBlocking(false);
+  ::fcntl(socket_.impl()->sockfd(), F_SETFD, FD_CLOEXEC);  // a gateway started now must not keep it open
   address_ = socket_.address().toString();
   host_.loop().addEventHandler(
       socket_, Poco::NObserver<Listener, ReadableNotification>(*this, &Listener::on_readable));
--- a/src/standin/script.cpp
+++ b/src/standin/script.cpp
@@ -30,6 +30,10 @@
     s.row_bytes = whole();
   else if (word == "status")
     s.status = whole();
+  else if (word == "ask-status")
+    s.ask_status = whole();
+  else if (word == "refuse")
+    s.refuse = true;
   else if (word == "silent")
     s.silent = true;
   else if (word == "reset")
--- a/src/standin/script.h
+++ b/src/standin/script.h
@@ -16,6 +16,8 @@
   int pages = 1;
   int row_bytes = 0;    // of the third column, at least
   int status = 200;     // of an engine: 500 failed, 503 full, 504 over already
+  int ask_status = 0;   // of every answer but that to the start, 503 and 504 with Not-Begun; 0: as it is
+  bool refuse = false;  // from its start on its engine takes no new connections: it drains
   bool silent = false;  // nothing is ever said to it
   int reset = -1;       // bytes of an answer that go out before its connection is reset; below 0: not so
   int cut = -1;         // the same, and then an orderly end
--- a/tests/gateway/gateway_test.cpp
+++ b/tests/gateway/gateway_test.cpp
@@ -184,6 +184,63 @@
   EXPECT_TRUE(has(ask(command(3, "select 1")), R"("result")"));
 }
 
+// What proves that a send never ran, and what does not: docs/design.md, "Never ran".
+class NeverRan : public Gateway {
+ protected:
+  void SetUp() override {
+    engines_ = std::make_unique<standin::Fleet>(2);
+    std::string config = engines_->config(address_);
+    const std::string one = R"("try_limit":1,)";
+    start(config.replace(config.find(one), one.size(), R"("try_limit":3,)"));
+  }
+  standin::Engine& engine(int i) { return engines_->engine(i); }
+  int calls(const std::string& call) { return engine(0).calls(call) + engine(1).calls(call); }
+  // Each engine's first call comes only once what the other was asked last has ended by itself unasked.
+  void expect_apart() {
+    const int first = engine(0).first_call_at() < engine(1).first_call_at() ? 0 : 1;
+    EXPECT_GE(engine(1 - first).first_call_at() - engine(first).last_call_at(), 2000);
+  }
+  std::unique_ptr<standin::Fleet> engines_;
+};
+
+TEST_F(NeverRan, AnEngineThatDrainsIsToldToGiveUpOverAConnectionItHas) {
+  StreamSocket client = connect();
+  send(client, command(1, "select 1 /*! delay=1500 refuse */"));
+  ASSERT_TRUE(soon([&] { return calls("POST") > 0; }));
+  send(client, R"({"jsonrpc":"2.0","method":"revoke","params":{"id":1,"req":"0000000000000001"}})");
+  EXPECT_TRUE(soon([&] { return calls("DELETE /v1/store/0000000000000001") == 1; }));
+}
+
+TEST_F(NeverRan, ARefusalToBeAskedIsNoProofThatTheQueryHasEnded) {
+  const std::string lookup = "select 1 /*! delay=50 refuse reset=0 times=1 */";
+  EXPECT_TRUE(has(ask(command(1, lookup, 8000)), R"("error")"));  // both lose it: each drains after its start
+  EXPECT_EQ(engines_->runs(lookup), 2);
+  expect_apart();
+}
+
+TEST_F(NeverRan, ANonReplayableCommandRunsOnceWhereTheAskIsRefused) {
+  const std::string load = "insert 1 /*! delay=50 refuse reset=0 times=1 */";
+  const std::string answer = ask(command(1, load, 8000, "load"));
+  EXPECT_TRUE(has(answer, R"("code":-32000)")) << answer;
+  EXPECT_EQ(engines_->runs(load), 1);
+}
+
+TEST_F(NeverRan, TheWordNotBegunCountsOnlyInTheAnswerToTheStart) {
+  for (const int status : {503, 504}) {
+    const std::string load = "insert 1 /*! delay=400 ask-status=" + std::to_string(status) + " */";
+    const std::string answer = ask(command(status, load, 8000, "load"));
+    EXPECT_TRUE(has(answer, R"("code":-32000)")) << answer;
+    EXPECT_EQ(engines_->runs(load), 1);
+  }
+}
+
+TEST_F(NeverRan, WhatItsStartSaysHasNotBegunMayGoElsewhereAndIsShed) {
+  const std::string full = "insert 1 /*! status=503 */";
+  const std::string answer = ask(command(1, full, 1000, "load"));
+  EXPECT_TRUE(has(answer, R"("code":-32001)")) << answer;
+  EXPECT_GT(calls("POST"), 1);
+}
+
 TEST_F(Gateway, WithoutAConfigurationItEndsAtOnce) {
   start("{");
   EXPECT_EQ(process_->wait(), 1);
--- a/tests/proto/proto_test.cpp
+++ b/tests/proto/proto_test.cpp
@@ -175,15 +175,18 @@
 }
 
 TEST(Queries, OnlyNotBegunProvesThatNothingRan) {
-  const auto outcome = [](int status, bool not_begun) {
+  const auto step = [](int status, bool not_begun, bool to_start) {
     Query query;
     HttpAnswer answer = told(status);
     answer.not_begun = not_begun;
-    return query.hear(answer).outcome;
+    return query.hear(answer, to_start);
   };
-  EXPECT_EQ(outcome(503, true), Outcome::kFull);
-  EXPECT_EQ(outcome(504, true), Outcome::kMoot);
-  EXPECT_EQ(outcome(500, false), Outcome::kFailed);
+  EXPECT_EQ(step(503, true, true).outcome, Outcome::kFull);
+  EXPECT_EQ(step(504, true, true).outcome, Outcome::kMoot);
+  EXPECT_EQ(step(500, false, true).outcome, Outcome::kFailed);
+  // Of a later call it says nothing: the query may run on.
+  EXPECT_EQ(step(503, true, false).next, Query::Next::kSpoilt);
+  EXPECT_EQ(step(504, true, false).next, Query::Next::kSpoilt);
 }
 
 TEST(Queries, WhatIsNoWholeAnswerIsAskedForAgain) {
