--- a/src/gateway/serve.cpp
+++ b/src/gateway/serve.cpp
@@ -186,7 +186,7 @@
     clients.read_pages(*shelving.spool);
     shelving.spool->on_room = [&core](Ms now) { core.room(now); };
   }
-  net::Bus bus(loop, counters, told.bus, connect);
+  net::Bus bus(loop, counters, told.bus, connect, told.seed);
 
   for (proto::BusEvent& event : told.known) net::tell_roster(core, loop.now(), std::move(event));
   bus.follow(core, told.last);
--- a/src/net/bus.cpp
+++ b/src/net/bus.cpp
@@ -14,7 +14,7 @@
  protected:
   void on_up() override {
     write(proto::bus_request(owner_.last_));
-    owner_.due_at_ = loop_.now() + proto::kBusSilence;
+    if (!owner_.moving_) owner_.due_at_ = loop_.now() + proto::kBusSilence;
   }
   void on_bytes() override {
     const Ms now = loop_.now();
@@ -33,8 +33,22 @@
   Bus& owner_;
 };
 
-Bus::Bus(Loop& loop, Counters& counters, std::string address, Ms connect_most)
-    : loop_(loop), counters_(counters), address_(std::move(address)), connect_most_(connect_most) {}
+namespace {
+// The protocol counts what the bus would have told as told 4 s after it went silent or moved, and 2 s after a
+// break: with the silence before it a lost bus has been asked again by then.
+constexpr Ms kAgainMost = 1000;   // between attempts to reach it
+constexpr Ms kMoveSpread = 1000;  // over which the gateways go where a new configuration sends them
+}  // namespace
+
+// A fleet that starts together does not come to the bus together: each has the list of its start.
+Bus::Bus(Loop& loop, Counters& counters, std::string address, Ms connect_most, uint64_t seed)
+    : loop_(loop),
+      counters_(counters),
+      address_(std::move(address)),
+      connect_most_(connect_most),
+      again_(connect_most, kAgainMost, seed) {
+  due_at_ = loop_.now() + again_.spread(connect_most_);
+}
 Bus::~Bus() = default;
 
 void tell_roster(Core& core, Ms now, proto::BusEvent event) {
@@ -51,7 +65,8 @@
     if (on_unreadable) on_unreadable({line.data(), std::min<size_t>(line.size(), 200)});
     return lost(now);
   }
-  due_at_ = now + proto::kBusSilence;
+  if (!moving_) due_at_ = now + proto::kBusSilence;
+  again_.well();
   if (event->offset <= last_ || (event->listings.empty() && !event->full)) return;
   last_ = event->offset;
   counters_.add("bus events");
@@ -62,7 +77,7 @@
   if (!link_) return;
   leave();
   counters_.add("bus connections lost");
-  due_at_ = now + connect_most_;
+  if (!moving_) due_at_ = now + again_.wait();
 }
 
 void Bus::leave() {
@@ -72,14 +87,17 @@
 }
 
 void Bus::move(Ms now, std::string address) {
+  if (address == address_) return;
   address_ = std::move(address);
-  leave();
-  due_at_ = now;
+  moving_ = true;
+  due_at_ = now + again_.spread(kMoveSpread);
 }
 
 void Bus::due(Ms now) {
   if (due_at_ == 0 || now < due_at_) return;
-  if (link_) return lost(now);
+  if (link_ && !moving_) return lost(now);
+  moving_ = false;
+  leave();
   try {
     link_ = std::make_unique<Connection>(*this, Poco::Net::SocketAddress(address_));
   } catch (const Poco::Exception&) {
--- a/src/net/bus.h
+++ b/src/net/bus.h
@@ -5,6 +5,7 @@
 #include <memory>
 
 #include "core/core.h"
+#include "index/again.h"
 #include "net/link.h"
 #include "proto/bus/bus.h"
 
@@ -12,7 +13,7 @@
 
 class Bus {
  public:
-  Bus(Loop& loop, Counters& counters, std::string address, Ms connect_most);
+  Bus(Loop& loop, Counters& counters, std::string address, Ms connect_most, uint64_t seed);
   ~Bus();
 
   void follow(Core& core, int64_t last) {
@@ -20,7 +21,7 @@
     last_ = last;
   }
   std::function<void(std::string_view line)> on_unreadable;  // where it begins
-  void move(Ms now, std::string address);                    // the numbers go on
+  void move(Ms now, std::string address);  // the numbers go on; the same address: nothing changes
   void due(Ms now);
   Ms next_due() const { return due_at_; }
 
@@ -37,7 +38,9 @@
   Core* core_ = nullptr;
   int64_t last_ = 0;
   std::unique_ptr<Connection> link_;
-  Ms due_at_ = 1;  // connect, or give the connection up
+  Ms due_at_ = 0;        // connect, or give the connection up
+  bool moving_ = false;  // the connection is to be given up for one to another address
+  Again again_;
 };
 
 // An event of the bus as the core takes it.
--- a/src/net/engines.cpp
+++ b/src/net/engines.cpp
@@ -346,7 +346,7 @@
   Send& send = sends_.at(id);
   send.as = as;
   send.ask_at = 0;
-  send.ends_at = std::min(now, send.asked_at + proto::kNewsWait) + proto::kUnaskedMost + kWaySlack;
+  send.ends_at = unasked_end(send);
   look_at_ = sooner(look_at_, send.ends_at);
   ask(id, now);
 }
--- a/src/policy/rules.cpp
+++ b/src/policy/rules.cpp
@@ -16,6 +16,7 @@
 #include <algorithm>
 #include <cmath>
 #include <initializer_list>
+#include <utility>
 
 namespace firvalve {
 namespace {
@@ -63,9 +64,11 @@
 constexpr Ms kLevelCutWait = 400;       // between steps down: the cut must show first
 constexpr Ms kLevelRaiseWait = 2000;    // between steps up: at 200 and 800 they outran the cuts
 constexpr Ms kFullRest = 250;           // after 'full': some commands end there within it
+constexpr Ms kClosedMost = 8000;        // the rest doubles up to this, as that between trials does
 constexpr double kKinWeight = 2;        // outcomes: an engine with fewer of late is judged by its kin as well
 constexpr double kRaisePart = 0.25;     // of the start: a step up, one thread at most, alike for all
 constexpr double kShortExtra = 1.25;    // times the limit for short commands, which free it soon
+constexpr Ms kDebtMost = 2000;          // of its level that may be owed: some long commands' time
 // Line
 constexpr Ms kBeat = 20;            // between looks while commands are in hand: far under any target
 constexpr Ms kEndSlack = 30;        // before the client gives up: a held command ends here at the latest
@@ -326,10 +329,14 @@
   }
   if (r.outcome == Outcome::kOk || r.outcome == Outcome::kFailed || r.outcome == Outcome::kFull)
     e.sign_at = now;
-  if (r.outcome == Outcome::kFull) {
-    e.limit *= kLevelCut;
+  // Guards against spending every further send on closed doors: what turns sends away at once has no work in
+  // flight and would be drawn first each time. It rests longer with each in a row.
+  if (r.outcome == Outcome::kFull) e.limit *= kLevelCut;
+  if (r.outcome == Outcome::kFull || r.outcome == Outcome::kConnectFailed) {
     e.closed_from_mb = 0;
-    e.closed_until = now + kFullRest;  // guards against spending every further send on one closed door
+    e.closed_until = now + std::min(kClosedMost, kFullRest * (1 << std::min(e.closed_doors++, 8)));
+  } else if (r.outcome != Outcome::kMoot) {
+    e.closed_doors = 0;
   }
   const bool never_ran =
       r.outcome == Outcome::kFull || r.outcome == Outcome::kConnectFailed || r.outcome == Outcome::kMoot;
@@ -612,7 +619,8 @@
     // Guards against many gateways with a small share of each engine, whose single commands add up to a
     // crowd: one command may always be out, any further ones only within the levels of all these engines
     // together. Short commands are held by each other alone: they do not sit out a long one.
-    if (threads_out > 0 && threads_out + p.threads > room) {
+    const bool owes = !quick && s.debts[pool] > 0;
+    if ((threads_out > 0 || owes) && threads_out + p.threads > room) {
       for (const int i : s.drawn) s.engines[i].limit_met = true;
       continue;
     }
@@ -622,7 +630,12 @@
     const auto easy = [&](int i) { return s.engines[i].crowding < kStretchLow; };
     if (std::any_of(s.drawn.begin(), s.drawn.end(), easy))
       std::erase_if(s.drawn, [&](int i) { return s.engines[i].crowding > kStretchHigh; });
-    const auto kept = [&](int i) { return anywhere && s.engines[i].awaited; };
+    // Short commands do so only where this gateway's level holds one there: elsewhere something is always
+    // awaited, and the short commands of all gateways would crowd the machines that nothing is bound to.
+    const auto kept = [&](int i) {
+      const Engine& e = s.engines[i];
+      return anywhere && e.awaited && (!quick || e.limit >= p.threads);
+    };
     if (!std::all_of(s.drawn.begin(), s.drawn.end(), kept)) std::erase_if(s.drawn, kept);
     const size_t count = s.drawn.size(), one = s.chance.next() % count;
     const size_t two = count > 1 ? (one + 1 + s.chance.next() % (count - 1)) % count : one;
@@ -637,6 +650,23 @@
   return -1;
 }
 
+// Guards against many gateways with a small share of each engine, whose one command that may always be out
+// adds up to a crowd from which no cut of a level leads back: the levels of the pool, and of the other
+// engines, hold as a mean over time, and what ran past them is waited for. Where a gateway's share holds more
+// than one command this changes nothing; one with far more traffic than its neighbours is held to its level.
+void count_debts(State& s, Ms now) {
+  const Ms passed = std::min(now - std::exchange(s.debts_at, now), kDebtMost);
+  for (const bool pool : {false, true}) {
+    double room = 0, out = 0;
+    for (const Engine& e : s.engines) {
+      if (e.in_pool != pool) continue;
+      out += e.threads_out - e.short_out;
+      if (e.life == Life::kReady && !e.doubted) room += e.limit * warmth(s, e, now);
+    }
+    s.debts[pool] = std::clamp(s.debts[pool] + (out - room) * passed, 0.0, room * kDebtMost);
+  }
+}
+
 // What is out: withdrawn where its engine went silent or its plan is bad, when it may be sent again.
 void review_out(State& s, Ms now) {
   for (const int place : s.live) {
@@ -739,6 +769,7 @@
       s.slab[i].asked.gives_up_at = std::min(s.slab[i].asked.gives_up_at, s.closes_at);
   judge_engines(s, now);
   draw_pool(s);
+  count_debts(s, now);
   review_out(s, now);
   review_line(s, now);
   const auto in_hand = [&](int place) { return !s.slab[place].ended; };
--- a/src/policy/rules.h
+++ b/src/policy/rules.h
@@ -162,6 +162,7 @@
   Ms limit_moved_at = 0;
   Ms closed_until = 0;  // it turned a send away, or let one wait that needs this much memory
   double closed_from_mb = 0;
+  int closed_doors = 0;  // sends in a row that never began there: full, or no connection came up
   // Its warmth:
   Ms cold_since = -1;                    // below 0: warm
   std::vector<std::pair<Ms, Ms>> spent;  // while cold: when and how much work was sent
@@ -233,6 +234,8 @@
   Articles articles;
   std::vector<Engine> engines;  // by id; places move only when a new id is listed
   std::vector<std::string> machines;
+  std::array<double, 2> debts{};  // light engines, pool: thread-ms that ran past the levels, not made up for
+  Ms debts_at = 0;
   std::vector<Kin> kin;       // two for each of the machines: light, pool
   std::vector<Command> slab;  // commands in hand, places reused
   std::vector<int> free_places;
@@ -283,6 +286,7 @@
 // The parts of decide, apart for the tests.
 void judge_engines(State& s, Ms now);
 void draw_pool(State& s);
+void count_debts(State& s, Ms now);
 void review_out(State& s, Ms now);
 void review_line(State& s, Ms now);
 bool may_send(const State& s, const Command& c, const Engine& e, Ms now);
--- a/tests/policy/rules_test.cpp
+++ b/tests/policy/rules_test.cpp
@@ -465,6 +465,25 @@
   EXPECT_EQ(choose(s, c, 1000), 0);
 }
 
+TEST(Level, ClosedDoorsRestLongerWithEachInARow) {
+  for (const Outcome closed : {Outcome::kFull, Outcome::kConnectFailed}) {
+    State s = state_with(1, {profile(Effect::kReplayable)});
+    Command& c = add_command(s);
+    Ms now = 0, rest = 0;
+    for (int i = 0; i < 3; ++i) {
+      put_out(s, c, 0, now);
+      hear(s, now, settled(c, closed));
+      EXPECT_EQ(choose(s, c, now + 1.5 * rest), -1) << i;
+      rest = s.engines[0].closed_until - now;
+      now = s.engines[0].closed_until;
+      EXPECT_EQ(choose(s, c, now), 0) << i;
+    }
+    put_out(s, c, 0, now);
+    hear(s, now, settled(c, Outcome::kFailed));  // it has begun there: the door is open
+    EXPECT_EQ(s.engines[0].closed_doors, 0);
+  }
+}
+
 TEST(Level, WhatWaitsForMemoryGoesElsewhereAndSmallerOnesMayFit) {
   State s = state_with(1, {profile(Effect::kReplayable)});
   Command& c = add_command(s);
@@ -572,6 +591,31 @@
   EXPECT_GE(choose(s, add_command(s), 10), 0);
 }
 
+// Of the threads of 300 gateways that each run one command whenever they may, no more than the levels hold as
+// a mean: of what each runs past its share it waits out the rest.
+TEST(Level, WhatRanPastAShareIsWaitedFor) {
+  State s = state_with(2, {profile(Effect::kReplayable, 4), profile(Effect::kReplayable)});
+  for (Engine& e : s.engines) e.limit = 0.5;  // one thread in all, four are run at once
+  Command& first = add_command(s);
+  Ms ran = 0, all = 0;
+  count_debts(s, 0);
+  for (Ms now = 0; now < 40000; now += 20) {
+    const bool out = s.engines[0].sends_out + s.engines[1].sends_out > 0;
+    ran += out ? 4 * 20 : 0;
+    all += 20;
+    if (out && now - first.sent_at >= 200) hear(s, now, settled(first, Outcome::kFailed));
+    count_debts(s, now);
+    const int engine = first.out ? -1 : choose(s, first, now);
+    if (engine >= 0) put_out(s, first, engine, now), first.sends = 1;
+    if (s.debts[0] > 0) {
+      EXPECT_GE(choose(s, add_command(s, 1), now), 0);
+    }  // short ones do not wait
+    s.slab.resize(1);
+    s.live.resize(1);
+  }
+  EXPECT_NEAR(ran / all, 1, 0.15);
+}
+
 TEST(Level, ShortCommandsDoNotSitOutALongOne) {
   State s = state_with(4, {profile(Effect::kReplayable), profile(Effect::kReplayable, 4)});
   for (Engine& e : s.engines) e.limit = 0.2;
@@ -663,5 +707,17 @@
   EXPECT_EQ(bound.want_engine, 1);
 }
 
+// Where a gateway's share is less than one command something is always awaited: all short commands of all
+// gateways would crowd the few machines that nothing is bound to.
+TEST(Line, ShortCommandsLeaveAwaitedMachinesOnlyWhereTheShareHoldsOne) {
+  State s = state_with(2, {profile(Effect::kReplayable)});
+  s.engines[0].awaited = true;
+  s.engines[1].work_out = 1e6;
+  Command& c = add_command(s);
+  EXPECT_EQ(choose(s, c, 0), 1);
+  for (Engine& e : s.engines) e.limit = 0.5;
+  EXPECT_EQ(choose(s, c, 0), 0);
+}
+
 }  // namespace
 }  // namespace firvalve
