--- a/tests/gateway/gateway_test.cpp
+++ b/tests/gateway/gateway_test.cpp
@@ -172,15 +172,20 @@
 
 TEST_F(Gateway, ANewConfigurationMovesTheBusAndItsNumbersGoOn) {
   ask(command(1, "select 1"));  // it is ready
+  ASSERT_TRUE(soon([&] { return fleet_.bus().asked_from().size() == 1; }));
   standin::Bus moved(fleet_.host());
   process_->rewrite("{");
   process_->signal(SIGHUP);  // cannot be read: the one before stays in force
   EXPECT_TRUE(has(ask(command(2, "select 1")), R"("result")"));
+  process_->rewrite(config_);
+  process_->signal(SIGHUP);
+  EXPECT_TRUE(has(ask(command(4, "select 1")), R"("result")"));
   std::string config = config_;
   config.replace(config.find(fleet_.bus().address()), fleet_.bus().address().size(), moved.address());
   process_->rewrite(config);
   process_->signal(SIGHUP);
   EXPECT_TRUE(soon([&] { return !moved.asked_from().empty(); }));
+  EXPECT_EQ(fleet_.bus().asked_from().size(), 1u);  // not asked again where its address stayed
   EXPECT_TRUE(has(ask(command(3, "select 1")), R"("result")"));
 }
 
