One doubling rest in the module, one place where the bus awaits its next line

Need: on reading the change again the doubling rest stood twice in the module, with two constants of one value and one reason (trials of doubted engines, closed doors); the guard "unless it is to move" stood beside each renewal of the bus's silence, and Bus::due asked for a moment 0 that no longer occurs. Change: doubled() with kRestMost serves both rests (both caps lay past the most: the same waits); Bus::listen renews the silence; the dead check is out.

--- a/src/net/bus.cpp
+++ b/src/net/bus.cpp
@@ -14,7 +14,7 @@
  protected:
   void on_up() override {
     write(proto::bus_request(owner_.last_));
-    if (!owner_.moving_) owner_.due_at_ = loop_.now() + proto::kBusSilence;
+    owner_.listen(loop_.now());
   }
   void on_bytes() override {
     const Ms now = loop_.now();
@@ -65,7 +65,7 @@
     if (on_unreadable) on_unreadable({line.data(), std::min<size_t>(line.size(), 200)});
     return lost(now);
   }
-  if (!moving_) due_at_ = now + proto::kBusSilence;
+  listen(now);
   again_.well();
   if (event->offset <= last_ || (event->listings.empty() && !event->full)) return;
   last_ = event->offset;
@@ -80,6 +80,10 @@
   if (!moving_) due_at_ = now + again_.wait();
 }
 
+void Bus::listen(Ms now) {
+  if (!moving_) due_at_ = now + proto::kBusSilence;
+}
+
 void Bus::leave() {
   if (!link_) return;
   link_->close();
@@ -94,7 +98,7 @@
 }
 
 void Bus::due(Ms now) {
-  if (due_at_ == 0 || now < due_at_) return;
+  if (now < due_at_) return;
   if (link_ && !moving_) return lost(now);
   moving_ = false;
   leave();
--- a/src/net/bus.h
+++ b/src/net/bus.h
@@ -30,6 +30,7 @@
   void hear(Ms now, std::span<char> line);
   void lost(Ms now);
   void leave();
+  void listen(Ms now);  // for its silence; while it is to move, the moment drawn for that stands
 
   Loop& loop_;
   Counters& counters_;
--- a/src/policy/rules.cpp
+++ b/src/policy/rules.cpp
@@ -44,7 +44,7 @@
 constexpr double kFailLeast = 2.5;    // fading failures before the share is believed
 constexpr Ms kTrialFirst = 1000;      // until the first trial of a doubted engine
 constexpr int kTrialsGood = 4;        // in a row: past the luck of an engine that fails a third of its work
-constexpr Ms kTrialMost = 8000;       // the wait doubles up to this
+constexpr Ms kRestMost = 8000;        // the wait doubles up to this, and so does the rest of a closed door
 constexpr Ms kSilence = 600;          // without a sign of life while something is overdue: above long pauses
 constexpr Ms kStall = 200;            // that a bell comes late: this gateway itself stood still
 constexpr double kOverdue = 4;        // times the predicted time before a send is overdue
@@ -64,7 +64,6 @@
 constexpr Ms kLevelCutWait = 400;       // between steps down: the cut must show first
 constexpr Ms kLevelRaiseWait = 2000;    // between steps up: at 200 and 800 they outran the cuts
 constexpr Ms kFullRest = 250;           // after 'full': some commands end there within it
-constexpr Ms kClosedMost = 8000;        // the rest doubles up to this, as that between trials does
 constexpr double kKinWeight = 2;        // outcomes: an engine with fewer of late is judged by its kin as well
 constexpr double kRaisePart = 0.25;     // of the start: a step up, one thread at most, alike for all
 constexpr double kShortExtra = 1.25;    // times the limit for short commands, which free it soon
@@ -96,6 +95,9 @@
 constexpr double kGrantLearn = 0.05;  // step towards it: settles within some hundred outcomes
 constexpr double kWarmTables = 0.85;  // of the work: what tables seen lately save
 
+// A rest that doubles with each in a row, up to the most.
+Ms doubled(Ms first, int& in_a_row) { return std::min(kRestMost, first * (1 << std::min(in_a_row++, 8))); }
+
 void blend(double& mean, double sample, double share) {
   mean = mean == 0 ? sample : mean + share * (sample - mean);
 }
@@ -334,7 +336,7 @@
   if (r.outcome == Outcome::kFull) e.limit *= kLevelCut;
   if (r.outcome == Outcome::kFull || r.outcome == Outcome::kConnectFailed) {
     e.closed_from_mb = 0;
-    e.closed_until = now + std::min(kClosedMost, kFullRest * (1 << std::min(e.closed_doors++, 8)));
+    e.closed_until = now + doubled(kFullRest, e.closed_doors);
   } else if (r.outcome != Outcome::kMoot) {
     e.closed_doors = 0;
   }
@@ -597,7 +599,7 @@
       if (e.doubted) {
         if (quick && p.effect == Effect::kReplayable && e.sends_out == 0 && now >= e.trial_at &&
             c.sends == 0) {
-          e.trial_at = now + std::min(kTrialMost, kTrialFirst * (1 << std::min(e.trials++, 4)));
+          e.trial_at = now + doubled(kTrialFirst, e.trials);
           return static_cast<int>(i);
         }
         continue;
