--- a/src/duty/duties.cpp
+++ b/src/duty/duties.cpp
@@ -58,7 +58,7 @@
   w.wanted = true;
   if (w.seen_at == 0) {
     w.seen_at = now;
-    w.back = stand_back(now, duty, true);
+    w.back = stand_back(now, duty, false);
   }
 }
 
@@ -104,12 +104,15 @@
   return at == wanted_.end() || !at->second.claim ? nullptr : &*at->second.claim;
 }
 
+Ms Duties::back_of(bool released) const {
+  return std::min(kBackMost, terms_.lease / 4) * (released ? kBackReleased : 1);
+}
+
 Ms Duties::stand_back(Ms now, const std::string& duty, bool released) const {
   double parts = kBackDraw * place(duty, terms_.self);
-  parts += std::min(kBackHeldMost, kBackHeld * static_cast<double>(held()));
   parts += std::min(kBackStallMost, kBackStall * static_cast<double>(stalls_.size()));
   if (now < started_at_ + kNew) parts += kBackNew;
-  return parts * std::min(kBackMost, terms_.lease / 4) * (released ? kBackReleased : 1);
+  return parts * back_of(released);
 }
 
 void Duties::take_fact(Ms now, const std::string& duty, Wanted& w, const record::Fact& fact, bool stands) {
@@ -129,7 +132,7 @@
   if (unreadable && !w.unreadable) events_.push_back({Event::Kind::kUnreadable, duty, 0, {}, 0, false});
   w.unreadable = unreadable;
   w.seen_at = now;
-  w.back = stand_back(now, duty, !w.claim || w.claim->released);
+  w.back = stand_back(now, duty, w.claim && w.claim->released);
   if (w.epoch > 0) lose(duty, w, unreadable ? "its claim cannot be read" : "another has claimed it");
   events_.push_back({Event::Kind::kSeen, duty, w.claim ? w.claim->epoch : 0, {}, 0, false});
 }
@@ -142,6 +145,9 @@
 void Duties::looked(Ms now) {
   if (looked_) return;
   looked_ = true;
+  // Of what nobody has claimed yet the standing back begins here. Guards against one that looked first and takes all.
+  for (auto& [duty, w] : wanted_)
+    if (!w.known) w.seen_at = now;
   due(now);
 }
 
@@ -152,6 +158,7 @@
     events_.push_back({Event::Kind::kStated, duty, w.epoch, {}, 0, false});
     w.next_state.reset();
   }
+  held_ -= w.epoch > 0;
   w.epoch = 0;
   w.leaving = false;
 }
@@ -196,6 +203,7 @@
     }
     if (step == Step::kReleases) {
       if (w.epoch > 0) events_.push_back({Event::Kind::kLeft, duty, w.epoch, w.why, 0, false});
+      held_ -= w.epoch > 0;
       w.epoch = 0;
       w.leaving = false;
       w.back = kBackMost;  // whoever else wants it goes first
@@ -210,6 +218,7 @@
     } else if (step == Step::kClaims && now >= sure) {
       // It took longer than its lease. Nobody acted under it; the next claim is its own again.
     } else if (step == Step::kClaims) {
+      held_ += w.epoch == 0;
       w.epoch = claim->epoch;
       w.sure_until = sure;
       w.renew_at = w.asked_at + kRenewPart * terms_.lease;
@@ -237,7 +246,9 @@
 
 Ms Duties::free_at(const Wanted& w) const {
   if (!w.wanted || leaving_ || w.unreadable || !(w.known || looked_)) return 0;
-  const Ms at = w.seen_at + w.back;
+  // What it holds counts as it is now: it may have taken others since it saw this one.
+  const Ms held = std::min(kBackHeldMost, kBackHeld * static_cast<double>(held_)) * back_of(w.claim && w.claim->released);
+  const Ms at = w.seen_at + w.back + held;
   if (!w.claim || w.claim->released || planted(Flaw::kNoWait)) return at;
   // Its own of which it knows that it acts no more.
   if (w.claim->life == terms_.life && w.claim->holder == terms_.self) return at;
@@ -265,11 +276,6 @@
   });
 }
 
-size_t Duties::held() const {
-  return static_cast<size_t>(std::count_if(wanted_.begin(), wanted_.end(),
-                                           [](const auto& w) { return w.second.epoch > 0; }));
-}
-
 void Duties::due(Ms now) {
   while (!stalls_.empty() && now > stalls_.front() + kStallsKept) stalls_.pop_front();
   for (auto at = wanted_.begin(); at != wanted_.end();) {
--- a/src/duty/duties.h
+++ b/src/duty/duties.h
@@ -80,7 +80,7 @@
   // Hands on all that it holds and claims nothing more.
   void leave(Ms now);
   bool holds_any() const;
-  size_t held() const;
+  size_t held() const { return held_; }
 
   // visit(duty, claim or null, whether this process holds it), for all that it is willing to hold.
   template <class Visit>
@@ -117,6 +117,7 @@
   void ask(Ms now, const std::string& duty, Wanted& w, Step step, const Claim& claim);
   void lose(const std::string& duty, Wanted& w, std::string why);
   void take_fact(Ms now, const std::string& duty, Wanted& w, const record::Fact& fact, bool stands);
+  Ms back_of(bool released) const;
   Ms stand_back(Ms now, const std::string& duty, bool released) const;
   Ms free_at(const Wanted& w) const;  // 0: not to be claimed now
   uint64_t draw();  // an id for a change: one of a sequence that starts at this process's life
@@ -127,6 +128,7 @@
   std::deque<Ms> stalls_;
   bool looked_ = false, leaving_ = false;
   uint64_t draws_ = 0;
+  size_t held_ = 0;
   std::vector<record::Wish> wishes_;
   std::vector<Event> events_;
 };
--- a/src/record/asker.cpp
+++ b/src/record/asker.cpp
@@ -67,6 +67,15 @@
   return all;
 }
 
+bool Asker::waits_for(const Message& m) const {
+  const auto at = rounds_.find(m.op);
+  if (at == rounds_.end()) return false;
+  if (m.say == Say::kRefused) return true;
+  const Round::Phase phase = at->second.phase;
+  return m.ballot == at->second.ballot && ((m.say == Say::kPromise && phase == Round::Phase::kPrepares) ||
+                                           (m.say == Say::kAccepted && phase == Round::Phase::kAccepts));
+}
+
 void Asker::hear(Ms now, Peer keeper, const Message& m) {
   const auto at = rounds_.find(m.op);
   if (at == rounds_.end() || keeper >= terms_.keepers) return;
--- a/src/record/asker.h
+++ b/src/record/asker.h
@@ -56,6 +56,8 @@
   void due(Ms now);
   Ms next_due() const;  // 0: nothing is asked
   size_t open() const { return rounds_.size(); }
+  // Whether an answer can still mean anything; hearing another changes nothing.
+  bool waits_for(const Message& m) const;
 
   std::vector<Envelope> take_sends() { return std::exchange(sends_, {}); }
   std::vector<End> take_ends() { return std::exchange(ends_, {}); }
--- a/src/record/follower.h
+++ b/src/record/follower.h
@@ -18,11 +18,11 @@
   Follower(uint32_t keepers, Peer first) : keepers_(keepers), at_(first % keepers) {}
 
   void due(Ms now) {
-    if (asked_at_ > 0 && now < asked_at_ + kPatience) return;
+    if (asked_at_ > 0 && now < asked_at_ + patience()) return;
     if (asked_at_ > 0) at_ = (at_ + 1) % keepers_, life_ = since_ = 0;
     look(now);
   }
-  Ms next_due() const { return asked_at_ > 0 ? asked_at_ + kPatience : 1; }
+  Ms next_due() const { return asked_at_ > 0 ? asked_at_ + patience() : 1; }
 
   // Takes a keeper's answer; its facts are then in seen().
   void hear(Ms now, Peer from, const Message& m) {
@@ -38,8 +38,9 @@
   std::vector<Envelope> take_sends() { return std::exchange(sends_, {}); }
 
  private:
-  // A keeper answers a look within a second, with nothing where nothing has changed.
-  static constexpr Ms kPatience = 1600;
+  // A keeper answers a look within a second, with nothing where nothing has changed; a first one at once.
+  static constexpr Ms kPatience = 1600, kFirstPatience = 300;
+  Ms patience() const { return life_ == 0 ? kFirstPatience : kPatience; }
 
   void look(Ms now) {
     asked_at_ = now;
