--- a/fuzz/peers_fuzz.cpp
+++ b/fuzz/peers_fuzz.cpp
@@ -1,4 +1,5 @@
-// Whatever a peer says and whatever lies in a keeper's folder or under a name in the record: it is read or refused.
+// Whatever a peer says and whatever lies in a keeper's folder or under a name in the record: it is read or
+// refused.
 #include <cstdint>
 #include <cstring>
 #include <string>
--- a/src/client/client.h
+++ b/src/client/client.h
@@ -48,8 +48,8 @@
   Effect effect = Effect::kNonReplayable;
   bool paged = false;    // the answer is a token and the first page, where the gateway gives pages; see Pages
   std::string key = {};  // paged: only who tells the same key reads the pages; empty: the token alone does
-  // It runs once under this name, however many gateways are asked for it: safe to be asked for again, so replayable.
-  // Where gateways hold no duties it fails. 128 bytes at most; empty: an ordinary command.
+  // It runs once under this name, however many gateways are asked for it: safe to be asked for again, so
+  // replayable. Where gateways hold no duties it fails. 128 bytes at most; empty: an ordinary command.
   std::string merge = {};
 };
 extern const size_t kStatementMost;  // bytes: the longest that a gateway reads
--- a/src/config/operator.cpp
+++ b/src/config/operator.cpp
@@ -302,16 +302,18 @@
   if (!f.reached_at.empty()) address("fleet.reached_at", f.reached_at);
   const size_t keepers = f.keepers.size();
   if (keepers != 3 && keepers != 5 && keepers != 7)
-    fault("fleet.keepers", fmt::format("{} {}: three, five or seven; of an even number one is of no use, of one its "
-                                       "loss is the record's",
-                                       keepers, keepers == 1 ? "is listed" : "are listed"));
+    fault("fleet.keepers",
+          fmt::format("{} {}: three, five or seven; of an even number one is of no use, of one its "
+                      "loss is the record's",
+                      keepers, keepers == 1 ? "is listed" : "are listed"));
   std::set<std::string> seen;
   for (const std::string& keeper : f.keepers) {
     address("fleet.keepers", keeper);
     if (!seen.insert(keeper).second) fault("fleet.keepers", fmt::format("{} stands there twice", keeper));
   }
   if (!f.folder.empty() && is_address(f.name()) && !seen.count(f.name()))
-    fault("fleet.folder", fmt::format("{} is no keeper and keeps nothing: leave it empty, or list it", f.name()));
+    fault("fleet.folder",
+          fmt::format("{} is no keeper and keeps nothing: leave it empty, or list it", f.name()));
   for (const std::string& duty : f.duties) {
     const size_t colon = duty.find(':');
     if (colon == 0 || colon == std::string::npos || colon + 1 == duty.size() || duty.size() > 200)
--- a/src/config/operator.h
+++ b/src/config/operator.h
@@ -36,7 +36,8 @@
     std::string folder;                // of a keeper: what it promised outlives it; empty: memory alone
     double lease_ms = 3000;            // of a duty
     std::vector<std::string> duties;   // that it is willing to hold: names, or kinds as "trial:*"
-    bool trusted_network = false;      // addresses off the loopback are allowed: nobody else hears or speaks there
+    bool trusted_network =
+        false;  // addresses off the loopback are allowed: nobody else hears or speaks there
     const std::string& name() const { return reached_at.empty() ? listen : reached_at; }
   } fleet;
   struct Log {
@@ -52,7 +53,7 @@
 
 struct Reading {
   Operator values;
-  std::vector<Fault> faults;  // all that were found, in the file's order
+  std::vector<Fault> faults;         // all that were found, in the file's order
   std::map<std::string, int> lines;  // where each field stands
   bool good() const { return faults.empty(); }
 };
--- a/src/core/fleet_calls.h
+++ b/src/core/fleet_calls.h
@@ -1,5 +1,5 @@
-// What clients may ask of the fleet as a whole, as the front that is asked sees it. Behind it stand the duties and
-// the record.
+// What clients may ask of the fleet as a whole, as the front that is asked sees it. Behind it stand the
+// duties and the record.
 #pragma once
 
 #include <functional>
@@ -19,8 +19,8 @@
   virtual void merge(Ms now, CallRef call, std::string_view name, Asked&& asked) = 0;
   virtual void gone(Ms now, CallRef call) = 0;  // its client waits no longer; of no merge: nothing happens
 
-  // A change of a bulletin's versions or declarations, or a reading of them. `done` is called once, later, unless
-  // the process ends first.
+  // A change of a bulletin's versions or declarations, or a reading of them. `done` is called once, later,
+  // unless the process ends first.
   struct Told {
     enum class Kind : uint8_t { kDone, kRefused, kBadParams, kNoMajority, kUnknown } kind = Kind::kUnknown;
     std::string text;  // kDone: the result; kRefused: the breaches, both JSON; kBadParams: why
--- a/src/duty/claim.cpp
+++ b/src/duty/claim.cpp
@@ -9,8 +9,7 @@
 std::string written(const Claim& claim) {
   flatbuffers::FlatBufferBuilder b(128);
   const auto holder = b.CreateString(claim.holder);
-  const auto state =
-      b.CreateVector(reinterpret_cast<const uint8_t*>(claim.state.data()), claim.state.size());
+  const auto state = b.CreateVector(reinterpret_cast<const uint8_t*>(claim.state.data()), claim.state.size());
   wire::ClaimBuilder out(b);
   out.add_epoch(claim.epoch);
   out.add_holder(holder);
--- a/src/duty/claim.h
+++ b/src/duty/claim.h
@@ -12,10 +12,10 @@
 namespace firvalve::duty {
 
 struct Claim {
-  uint64_t epoch = 0;  // grows with every new holder; 0: never held
-  std::string holder;  // the address that its peers reach it at
-  uint64_t life = 0;   // of the holder's process
-  Ms lease = 0;        // counted by the holder from before it asked for it
+  uint64_t epoch = 0;     // grows with every new holder; 0: never held
+  std::string holder;     // the address that its peers reach it at
+  uint64_t life = 0;      // of the holder's process
+  Ms lease = 0;           // counted by the holder from before it asked for it
   bool released = false;  // its holder acts no more
   std::string state;
   bool operator==(const Claim&) const = default;
--- a/src/duty/duties.cpp
+++ b/src/duty/duties.cpp
@@ -10,19 +10,21 @@
 
 namespace {
 
-constexpr double kGuardPart = 0.1;  // of a lease, kept for acts on their way
-constexpr Ms kGuardLeast = 50;      // a process that is scheduled late by more is lame anyhow
+constexpr double kGuardPart = 0.1;      // of a lease, kept for acts on their way
+constexpr Ms kGuardLeast = 50;          // a process that is scheduled late by more is lame anyhow
 constexpr double kRenewPart = 1.0 / 3;  // of a lease: two renewals may fail before it ends
 constexpr double kAskPart = 0.5;        // of a lease: a claim or renewal that takes longer is asked anew
 // How long it stands back before it claims, in parts of kBackMost or of a quarter of a lease, if less: by its
 // own draw for the duty, for each duty that it holds, for each stall of the last minute, while it is new.
 constexpr Ms kBackMost = 400;
-constexpr double kBackDraw = 0.4, kBackHeld = 0.02, kBackHeldMost = 0.2, kBackStall = 0.1, kBackStallMost = 0.3,
-                 kBackNew = 0.1;
-constexpr double kBackReleased = 0.1;  // of that, where the holder itself has handed it on: nobody is in doubt
+constexpr double kBackDraw = 0.4, kBackHeld = 0.02, kBackHeldMost = 0.2, kBackStall = 0.1,
+                 kBackStallMost = 0.3, kBackNew = 0.1;
+constexpr double kBackReleased =
+    0.1;  // of that, where the holder itself has handed it on: nobody is in doubt
 constexpr Ms kNew = 10000;
 constexpr Ms kStallsKept = 60000;
-constexpr size_t kLame = 3;  // so many stalls, each past the guard, within kStallsKept: it hands on what it has
+constexpr size_t kLame =
+    3;  // so many stalls, each past the guard, within kStallsKept: it hands on what it has
 
 // Where a gateway stands among all for one duty, from 0 to 1: even over gateways and duties.
 double place(const std::string& duty, const std::string& self) {
@@ -145,7 +147,8 @@
 void Duties::looked(Ms now) {
   if (looked_) return;
   looked_ = true;
-  // Of what nobody has claimed yet the standing back begins here. Guards against one that looked first and takes all.
+  // Of what nobody has claimed yet the standing back begins here. Guards against one that looked first and
+  // takes all.
   for (auto& [duty, w] : wanted_)
     if (!w.known) w.seen_at = now;
   due(now);
@@ -190,6 +193,9 @@
   const Step step = std::exchange(w.step, Step::kNone);
   const Ms counted_from = planted(Flaw::kLeaseFromAnswer) ? now : w.asked_at;
   if (end.kind == Kind::kNoMajority) {
+    // It was not made and is asked for anew, a state too: whoever wanted it written is owed an end.
+    if (step == Step::kStates && w.epoch > 0 && !w.next_state)
+      w.next_state = read_claim(end.wish.value)->state;
     return due(now);
   }
   if (end.kind == Kind::kAgreed) {
@@ -247,7 +253,8 @@
 Ms Duties::free_at(const Wanted& w) const {
   if (!w.wanted || leaving_ || w.unreadable || !(w.known || looked_)) return 0;
   // What it holds counts as it is now: it may have taken others since it saw this one.
-  const Ms held = std::min(kBackHeldMost, kBackHeld * static_cast<double>(held_)) * back_of(w.claim && w.claim->released);
+  const Ms held =
+      std::min(kBackHeldMost, kBackHeld * static_cast<double>(held_)) * back_of(w.claim && w.claim->released);
   const Ms at = w.seen_at + w.back + held;
   if (!w.claim || w.claim->released || planted(Flaw::kNoWait)) return at;
   // Its own of which it knows that it acts no more.
--- a/src/duty/duties.h
+++ b/src/duty/duties.h
@@ -1,5 +1,5 @@
-// Duties: named rights that one gateway holds at a time. What a gateway decides about them: when it claims one,
-// until when it may act, when it hands it on. No I/O and no clock.
+// Duties: named rights that one gateway holds at a time. What a gateway decides about them: when it claims
+// one, until when it may act, when it hands it on. No I/O and no clock.
 //
 // Safety rests on monotonic clocks whose rates differ by at most a stated part, and on nothing else:
 //  - A holder counts its lease from before it asked for it and stops acting a guard before its end.
@@ -45,8 +45,8 @@
   Kind kind = Kind::kTaken;
   std::string duty;
   uint64_t epoch = 0;
-  std::string why;  // kLeft, kLost
-  Ms until = 0;     // kTaken, kRenewed: it may act until then, where nothing further comes
+  std::string why;    // kLeft, kLost
+  Ms until = 0;       // kTaken, kRenewed: it may act until then, where nothing further comes
   bool made = false;  // kStated: the state stands
 };
 
@@ -100,7 +100,7 @@
     record::Fact fact;  // what stands, as far as seen
     std::optional<Claim> claim;
     bool unreadable = false, known = false, wanted = true;
-    bool stands = false;  // a majority holds it, not only the keeper that showed it
+    bool stands = false;       // a majority holds it, not only the keeper that showed it
     Ms seen_at = 0, back = 0;  // that fact was seen first; and how long it stands back then
     // What is asked of the record now.
     Step step = Step::kNone;
--- a/src/duty/merges.cpp
+++ b/src/duty/merges.cpp
@@ -47,8 +47,7 @@
     const size_t before = at->second.calls.size();
     std::erase_if(at->second.calls, [call](const Waiting& w) { return w.call == call; });
     if (at->second.calls.size() == before) continue;
-    if (at->second.calls.empty() && at->second.step == Step::kSeeks && !at->second.owes)
-      done(now, at);
+    if (at->second.calls.empty() && at->second.step == Step::kSeeks && !at->second.owes) done(now, at);
     return;
   }
 }
@@ -150,8 +149,8 @@
   Name& n = at->second;
   n.end = {};
   if (end == End::kNeverRan) {
-    const auto call = std::find_if(n.calls.begin(), n.calls.end(),
-                                   [&](const Waiting& w) { return w.call == n.runs_for; });
+    const auto call =
+        std::find_if(n.calls.begin(), n.calls.end(), [&](const Waiting& w) { return w.call == n.runs_for; });
     if (call != n.calls.end()) {
       actions_.push_back({Action::Kind::kShed, name, call->call, {}, advice});
       n.calls.erase(call);
@@ -176,7 +175,8 @@
   duties_.pin(now, duty_of(at->first), true);
   if (duties_.state(now, duty_of(at->first), n.end.stage == Merge::Stage::kNone ? "" : written(n.end)))
     return;
-  // The duty is lost. It is told if it comes back before another holder has taken it for one that may have run.
+  // The duty is lost. It is told if it comes back before another holder has taken it for one that may have
+  // run.
   n.step = Step::kSeeks;
   duties_.pin(now, duty_of(at->first), false);
 }
--- a/src/duty/merges.h
+++ b/src/duty/merges.h
@@ -1,11 +1,11 @@
 // Loads that run once under a name, however many gateways are asked for them by however many clients: what to
 // do with each that asks. No I/O and no clock.
 //
-// Whoever is asked wants the duty merge:NAME. Its holder writes into the claim that the load is begun, and only
-// once that stands does it begin: so a later holder never begins it again, whatever became of the first one.
-// Where the load is proved never to have run (it was refused before any send), the claim says so again, and
-// the next that waits may try. Everybody who asked is told the end: the rows, that it failed, or that it may
-// have run. A name is used up for ever; another night wants another name.
+// Whoever is asked wants the duty merge:NAME. Its holder writes into the claim that the load is begun, and
+// only once that stands does it begin: so a later holder never begins it again, whatever became of the first
+// one. Where the load is proved never to have run (it was refused before any send), the claim says so again,
+// and the next that waits may try. Everybody who asked is told the end: the rows, that it failed, or that it
+// may have run. A name is used up for ever; another night wants another name.
 //
 // It guards against a load that runs twice. It harms where a holder dies between its note and its first send:
 // the load has not run, and nobody will run it under that name.
@@ -39,11 +39,11 @@
   enum class End : uint8_t { kAnswered, kFailed, kNeverRan };
   struct Action {
     enum class Kind : uint8_t {
-      kStart,    // run it for this call
-      kAnswer,   // rows
-      kFail,     // why; it may have run
-      kShed,     // it never ran
-      kRefuse,   // why: nothing of it is to be had under this name
+      kStart,   // run it for this call
+      kAnswer,  // rows
+      kFail,    // why; it may have run
+      kShed,    // it never ran
+      kRefuse,  // why: nothing of it is to be had under this name
     };
     Kind kind = Kind::kStart;
     std::string name;
@@ -55,7 +55,11 @@
   Merges(Duties& duties, uint64_t life) : duties_(duties), life_(life) {}
   // The same, over a copy of its duties.
   Merges(const Merges& of, Duties& duties)
-      : duties_(duties), life_(of.life_), runs_(of.runs_), names_(of.names_), never_begun_(of.never_begun_),
+      : duties_(duties),
+        life_(of.life_),
+        runs_(of.runs_),
+        names_(of.names_),
+        never_begun_(of.never_begun_),
         actions_(of.actions_) {}
 
   static std::string duty_of(const std::string& name) { return "merge:" + name; }
--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -32,8 +32,9 @@
 // the connection looks like: it answers a look within a second.
 constexpr Ms kSilence = 2500;
 constexpr Ms kReconnectFirst = 50, kReconnectMost = 2000;
-constexpr size_t kUnsentMost = 8 * 1024 * 1024;  // bytes to one peer that does not read: beyond, they are lost
-constexpr Ms kWritesAgain = 500;                 // after the folder failed
+constexpr size_t kUnsentMost =
+    8 * 1024 * 1024;              // bytes to one peer that does not read: beyond, they are lost
+constexpr Ms kWritesAgain = 500;  // after the folder failed
 constexpr Ms kAcceptAgain = 250;
 constexpr Ms kLeaveMost = 1500;  // for hands-on to be agreed, once all is answered
 constexpr int kAcceptAtOnce = 64;
@@ -191,8 +192,8 @@
   const Ms at = clock();
   if (keeper && !terms.folder.empty()) {
     waker_ = std::make_unique<net::Waker>(loop);  // the turn that follows looks at what was written
-    folder_ = std::make_unique<Folder>(terms.folder, terms.name, keepers_hash_,
-                                       [w = waker_.get()] { w->wake(); });
+    folder_ =
+        std::make_unique<Folder>(terms.folder, terms.name, keepers_hash_, [w = waker_.get()] { w->wake(); });
   }
   if (folder_ && folder_->standing)
     node_ = std::make_unique<Node>(at, t, *folder_->standing, std::exchange(folder_->slots, {}));
@@ -232,8 +233,7 @@
       return accept_on(false);
     }
     if (descriptor < 0) return;
-    auto link =
-        std::make_unique<From>(*this, StreamSocket(new Poco::Net::StreamSocketImpl(descriptor)));
+    auto link = std::make_unique<From>(*this, StreamSocket(new Poco::Net::StreamSocketImpl(descriptor)));
     From* const key = link.get();
     from_[key] = std::move(link);
   }
@@ -313,8 +313,8 @@
         pass(done.step.sends);
         continue;
       }
-      // Guards a promise that is not on the disk against being told. Until the disk takes it again this keeper
-      // says nothing, and the others are the majority.
+      // Guards a promise that is not on the disk against being told. Until the disk takes it again this
+      // keeper says nothing, and the others are the majority.
       if (!std::exchange(unwritten_, true))
         say_(log::Level::kError, "record.unwritten",
              {{"component", "record"}, {"folder", terms_.folder}, {"why", done.why}});
@@ -349,8 +349,8 @@
       std::string bytes;
       append_frame(bytes, frame);
       counters_.add("fleet frames sent");
-      const auto to = std::find_if(to_.begin(), to_.end(),
-                                   [l = link](const auto& t) { return t && t->link() == l; });
+      const auto to =
+          std::find_if(to_.begin(), to_.end(), [l = link](const auto& t) { return t && t->link() == l; });
       if (to != to_.end())
         (*to)->put(bytes, at);
       else if (link->unsent() + bytes.size() <= kUnsentMost)
@@ -374,8 +374,10 @@
   if (leaves_at_ > 0) {
     if (!node_->merges().runs()) node_->duties().leave(at);
     const bool open = !wanted_.empty() || node_->merges().runs();
-    if (open) quiet_since_ = 0;
-    else if (quiet_since_ == 0) quiet_since_ = at;
+    if (open)
+      quiet_since_ = 0;
+    else if (quiet_since_ == 0)
+      quiet_since_ = at;
     flush(at);
     log_events();
   }
@@ -426,7 +428,11 @@
       const bool taken = e.kind == Kind::kTaken;
       if (taken) counters_.add("duties taken");
       say_(taken ? Level::kInfo : Level::kDebug, taken ? "duty.taken" : "duty.renewed",
-           {{"component", "duty"}, {"duty", e.duty}, {"epoch", epoch}, {"at_ms", at}, {"until_ms", times(e.until)}});
+           {{"component", "duty"},
+            {"duty", e.duty},
+            {"epoch", epoch},
+            {"at_ms", at},
+            {"until_ms", times(e.until)}});
     } else if (e.kind == Kind::kLeft || e.kind == Kind::kLost) {
       const bool left = e.kind == Kind::kLeft;
       counters_.add(left ? "duties left" : "duties lost");
@@ -479,12 +485,12 @@
   if (wanted_.erase(call) > 0) node_->merges().gone(clock(), call);
 }
 
-void Fleet::bulletin(Ms, std::string_view method, std::string_view name, const std::string& params, Ms timeout,
-                     Done done) {
+void Fleet::bulletin(Ms, std::string_view method, std::string_view name, const std::string& params,
+                     Ms timeout, Done done) {
   using Kind = schema::Change::Kind;
   static constexpr std::pair<std::string_view, Kind> kMethods[] = {
-      {"bulletin", Kind::kRead},   {"propose", Kind::kPropose}, {"deprecate", Kind::kDeprecate},
-      {"retire", Kind::kRetire},   {"declare", Kind::kDeclare}, {"withdraw", Kind::kWithdraw}};
+      {"bulletin", Kind::kRead}, {"propose", Kind::kPropose}, {"deprecate", Kind::kDeprecate},
+      {"retire", Kind::kRetire}, {"declare", Kind::kDeclare}, {"withdraw", Kind::kWithdraw}};
   std::string why;
   auto change = schema::read_change(params, why);
   if (!change) return refused_.push_back({std::move(done), std::move(why)});
@@ -511,10 +517,13 @@
       case End::Kind::kAgreed:
         if (end.applied.changed)
           say_(log::Level::kInfo, "schema.agreed",
-               {{"component", "schema"}, {"bulletin", end.bulletin}, {"version", std::to_string(end.applied.version)}});
+               {{"component", "schema"},
+                {"bulletin", end.bulletin},
+                {"version", std::to_string(end.applied.version)}});
         done({Told::Kind::kDone, end.asked == schema::Change::Kind::kRead ? schema::written(end.applied.after)
-                                 : end.applied.version > 0 ? fmt::format(R"({{"version":{}}})", end.applied.version)
-                                                           : R"({"agreed":true})"});
+                                 : end.applied.version > 0
+                                     ? fmt::format(R"({{"version":{}}})", end.applied.version)
+                                     : R"({"agreed":true})"});
         break;
       case End::Kind::kRefused:
         say_(log::Level::kWarning, "schema.refused",
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -1,8 +1,8 @@
-// A gateway's part in the fleet, in the program: its links to peers, its folder, its clock, and the merges that
-// clients ask for. What is decided, is decided in the machines of node.h.
+// A gateway's part in the fleet, in the program: its links to peers, its folder, its clock, and the merges
+// that clients ask for. What is decided, is decided in the machines of node.h.
 //
-// One thread, the loop's; the folder's writes go on beside it. Times within are those of the system's clock of
-// all time since it was started, which nobody sets and which goes on in sleep (CLOCK_BOOTTIME).
+// One thread, the loop's; the folder's writes go on beside it. Times within are those of the system's clock
+// of all time since it was started, which nobody sets and which goes on in sleep (CLOCK_BOOTTIME).
 #pragma once
 
 #include <Poco/Net/ServerSocket.h>
@@ -25,13 +25,13 @@
 namespace firvalve::fleet {
 
 struct FleetTerms {
-  std::string listen, name;          // where it listens; the address that its peers reach it at
+  std::string listen, name;  // where it listens; the address that its peers reach it at
   std::string site;
   std::vector<std::string> keepers;  // names
   std::string folder;                // of a keeper; empty: none
   std::vector<std::string> duties;   // names, or a kind as "trial:*", that this gateway is willing to hold
   Ms lease = 3000;
-  uint64_t draw = 1;                 // a chance of this start alone
+  uint64_t draw = 1;  // a chance of this start alone
 };
 
 class Fleet : public Front, public FleetCalls {
@@ -47,7 +47,7 @@
   // SIGTERM: what is held is handed on, once what was begun is at its end. Merges not begun by `until` fail.
   void leave(Ms now, Ms until);
   bool left(Ms now) const;  // nothing is open here, or it was waited for long enough
-  void tell() const;   // duties and members, as events: for SIGUSR1
+  void tell() const;        // duties and members, as events: for SIGUSR1
 
   // Answers of the core, for merges or else for the clients.
   void answer(CallRef call, std::string_view rows) override;
@@ -100,12 +100,12 @@
   bool accepting_ = false;
   record::Peer last_peer_ = 0;
   std::map<CallRef, Wanted> wanted_;
-  std::map<CallRef, std::string> runs_;  // calls of the core that are a merge's, with its name
+  std::map<CallRef, std::string> runs_;                // calls of the core that are a merge's, with its name
   std::vector<std::pair<Done, std::string>> refused_;  // changes that cannot be read, and why
-  std::map<uint64_t, Done> changes_;     // of bulletins, as the registry numbers them
+  std::map<uint64_t, Done> changes_;                   // of bulletins, as the registry numbers them
   CallRef last_run_ = CallRef{1} << 62;
-  Ms expected_ = 0;       // the next turn was to be by then
-  Ms writes_again_ = 0;   // the folder failed: nothing is written before
+  Ms expected_ = 0;      // the next turn was to be by then
+  Ms writes_again_ = 0;  // the folder failed: nothing is written before
   Ms accepts_again_ = 0;
   Ms leaves_at_ = 0, leave_until_ = 0, quiet_since_ = 0;
   bool was_full_ = false, unwritten_ = false;
--- a/src/fleet/folder.cpp
+++ b/src/fleet/folder.cpp
@@ -17,16 +17,15 @@
 
 namespace {
 
-constexpr size_t kMapBytes = size_t{1} << 30;  // address space, not memory: room for 65,536 facts of 4 kB, thrice
+constexpr size_t kMapBytes = size_t{1}
+                             << 30;  // address space, not memory: room for 65,536 facts of 4 kB, thrice
 constexpr const char* kStandingKey = "standing";
 
 [[noreturn]] void fail(const std::string& path, const std::string& why) {
   throw std::runtime_error(fmt::format("fleet.folder {}: {}", path, why));
 }
 
-MDB_val value_of(const std::string& text) {
-  return {text.size(), const_cast<char*>(text.data())};
-}
+MDB_val value_of(const std::string& text) { return {text.size(), const_cast<char*>(text.data())}; }
 std::string_view text_of(const MDB_val& v) { return {static_cast<const char*>(v.mv_data), v.mv_size}; }
 
 // One transaction: it ends with the object, and counts only where it was committed.
@@ -111,11 +110,11 @@
   if (!owned) throw std::runtime_error("what lies there cannot be read");
   if (owned->owner != owner_)
     throw std::runtime_error(fmt::format("it is {}'s; this gateway is {}", owned->owner, owner_));
-  if (owned->keepers != keepers_)
-    throw std::runtime_error("it was written under another list of keepers");
+  if (owned->keepers != keepers_) throw std::runtime_error("it was written under another list of keepers");
   standing = owned->standing;
   MDB_cursor* cursor = nullptr;
-  if (const int error = mdb_cursor_open(t.txn, slots_db_, &cursor)) throw std::runtime_error(mdb_strerror(error));
+  if (const int error = mdb_cursor_open(t.txn, slots_db_, &cursor))
+    throw std::runtime_error(mdb_strerror(error));
   std::string broken;
   while (mdb_cursor_get(cursor, &key, &value, MDB_NEXT) == 0) {
     auto slot = read_slot(text_of(value));
--- a/src/fleet/folder.h
+++ b/src/fleet/folder.h
@@ -1,5 +1,5 @@
-// A keeper's slots on a disk that lasts: LMDB in a folder of its own, written on a thread of its own. What was
-// put is on the disk, past a power cut, once done() tells so. Steps that wait are written together.
+// A keeper's slots on a disk that lasts: LMDB in a folder of its own, written on a thread of its own. What
+// was put is on the disk, past a power cut, once done() tells so. Steps that wait are written together.
 #pragma once
 
 #include <condition_variable>
@@ -19,9 +19,9 @@
 
 class Folder {
  public:
-  // Makes the folder where it is missing and locks it. Throws std::runtime_error in one sentence: it cannot be
-  // made, read or written; another process uses it; it is another gateway's, or of other keepers. `wake` is
-  // called on the folder's thread when done() has something.
+  // Makes the folder where it is missing and locks it. Throws std::runtime_error in one sentence: it cannot
+  // be made, read or written; another process uses it; it is another gateway's, or of other keepers. `wake`
+  // is called on the folder's thread when done() has something.
   Folder(const std::string& path, const std::string& owner, uint64_t keepers, std::function<void()> wake);
   ~Folder();  // what waits is written first
   Folder(const Folder&) = delete;
--- a/src/fleet/node.h
+++ b/src/fleet/node.h
@@ -20,8 +20,8 @@
 struct NodeTerms {
   record::Peer self = 0;  // below keepers: it is that keeper
   uint32_t keepers = 3;
-  std::string name;    // the address that its peers reach it at
-  uint64_t draw = 1;   // the chance of this start: of lives, ids and waits
+  std::string name;   // the address that its peers reach it at
+  uint64_t draw = 1;  // the chance of this start: of lives, ids and waits
   Ms lease = 3000;
 };
 
@@ -36,7 +36,8 @@
   void due(Ms now);
   Ms next_due() const;
 
-  // First the keeper's writes are made durable, then everything goes out. Sends to itself come back by hear().
+  // First the keeper's writes are made durable, then everything goes out. Sends to itself come back by
+  // hear().
   struct Out {
     record::Step keeper;
     std::vector<record::Envelope> sends;
--- a/src/fleet/wire.cpp
+++ b/src/fleet/wire.cpp
@@ -156,15 +156,15 @@
   const auto owner = b.CreateString(owned.owner);
   const record::Standing& s = owned.standing;
   const auto lives = numbers(b, s.lives), founders = numbers(b, s.founders);
-  b.Finish(
-      wire::CreateStanding(b, kFrameVersion, owner, owned.keepers, s.life, s.full, lives, founders));
+  b.Finish(wire::CreateStanding(b, kFrameVersion, owner, owned.keepers, s.life, s.full, lives, founders));
   return bytes_of(b);
 }
 
 std::optional<Owned> read_owned(std::string_view bytes) {
   return read<wire::Standing>(bytes, [](const wire::Standing& in) -> std::optional<Owned> {
     if (in.version() != kFrameVersion || !in.owner()) return {};
-    return Owned{{in.life(), in.full(), from(in.lives()), from(in.founders())}, in.owner()->str(), in.keepers()};
+    return Owned{
+        {in.life(), in.full(), from(in.lives()), from(in.founders())}, in.owner()->str(), in.keepers()};
   });
 }
 
--- a/src/fleet/wire.h
+++ b/src/fleet/wire.h
@@ -1,4 +1,5 @@
-// Messages between gateways as bytes, and a keeper's slots as they lie on disk. Garbage gives none, never more.
+// Messages between gateways as bytes, and a keeper's slots as they lie on disk. Garbage gives none, never
+// more.
 #pragma once
 
 #include <optional>
@@ -13,7 +14,7 @@
 
 constexpr uint16_t kFrameVersion = 1;
 constexpr size_t kFrameMost = 4 * 1024 * 1024;  // bytes of a frame's body
-constexpr size_t kFrameWanted = 128 * 1024;     // a frame that has grown past it is sent before more is put in
+constexpr size_t kFrameWanted = 128 * 1024;  // a frame that has grown past it is sent before more is put in
 
 struct Frame {
   std::string from;      // the address that the sender is reached at
--- a/src/gateway/call.cpp
+++ b/src/gateway/call.cpp
@@ -246,8 +246,9 @@
       "Exit: 0 answered, 2 usage, 3 refused (it never ran), 4 failed, 5 unknown (it may have run).\n"
       "With --count the worst of them.");
   call->callback([o, &exit_code] {
-    o->command.effect =
-        o->effect == "replayable" || !o->command.merge.empty() ? client::Effect::kReplayable : client::Effect::kNonReplayable;
+    o->command.effect = o->effect == "replayable" || !o->command.merge.empty()
+                            ? client::Effect::kReplayable
+                            : client::Effect::kNonReplayable;
     try {
       exit_code = o->command.paged || !o->resume.empty() ? run_paged(*o) : run_call(*o);
     } catch (const std::invalid_argument& e) {
--- a/src/gateway/serve.cpp
+++ b/src/gateway/serve.cpp
@@ -265,8 +265,9 @@
     if (ended_at > 0) return now + kEndLook;
     const Ms fleet_due = peers ? peers->next_due(now) : 0;
     const Ms spooled = shelving.spool ? shelving.spool->next_due() : 0;
-    return sooner(sooner(sooner(spooled, fleet_due), logger.next_due()), sooner(sooner(bus.next_due(), clients.next_due()),
-                                                             sooner(engines.next_due(), core.next_due())));
+    return sooner(
+        sooner(sooner(spooled, fleet_due), logger.next_due()),
+        sooner(sooner(bus.next_due(), clients.next_due()), sooner(engines.next_due(), core.next_due())));
   };
   loop.run();
   say(Level::kInfo, "counters", {{"component", "gateway"}, {"counts", counters.text()}});
--- a/src/lab/explore.h
+++ b/src/lab/explore.h
@@ -16,8 +16,8 @@
 
 namespace firvalve::lab {
 
-// What is kept of a state that was seen: 128 bits of its digest. Two that differ are taken for one with a chance of
-// under 1 in 10^20 at a hundred million states.
+// What is kept of a state that was seen: 128 bits of its digest. Two that differ are taken for one with a
+// chance of under 1 in 10^20 at a hundred million states.
 struct Seen {
   uint64_t low = 0, high = 0;
   explicit Seen(const std::string& digest) {
@@ -31,8 +31,8 @@
 };
 
 struct Explored {
-  size_t states = 0;  // that differ
-  size_t depth = 0;   // moves to the farthest of them
+  size_t states = 0;   // that differ
+  size_t depth = 0;    // moves to the farthest of them
   bool whole = false;  // every state within the bounds was looked at
   std::optional<std::string> breach;
   std::vector<std::string> trace;  // the shortest way to it
@@ -89,9 +89,9 @@
   return out;
 }
 
-// Where the whole is too large to find something deep: walks drawn from a seed, each to an end or to `depth` moves.
-// The first that breaks a rule is cut down move by move for as long as it still does. A move is known again by
-// what told() says of it.
+// Where the whole is too large to find something deep: walks drawn from a seed, each to an end or to `depth`
+// moves. The first that breaks a rule is cut down move by move for as long as it still does. A move is known
+// again by what told() says of it.
 template <class State>
 Explored wander(const State& first, uint64_t seed, size_t walks, size_t depth) {
   Explored out;
--- a/src/lab/fleet_world.h
+++ b/src/lab/fleet_world.h
@@ -2,9 +2,10 @@
 // them, of their clocks, disks, stalls and ends. One thread, no sockets, no clock; the same options give the
 // same history. Engines are a number of runs that begin and end.
 //
-// Modelled: messages lost, repeated, late, in another order; pairs of gateways cut off, one way or both; processes
-// that stand still and go on, that die and come back with or without what they had on disk; clocks that run at
-// different rates from different starts; disks that refuse to write. Not modelled: the price of CPU, bandwidth.
+// Modelled: messages lost, repeated, late, in another order; pairs of gateways cut off, one way or both;
+// processes that stand still and go on, that die and come back with or without what they had on disk; clocks
+// that run at different rates from different starts; disks that refuse to write. Not modelled: the price of
+// CPU, bandwidth.
 #pragma once
 
 #include <cstdint>
@@ -18,9 +19,9 @@
 struct FleetFault {
   enum class Kind : uint8_t { kStall, kKill, kCut, kCutOneWay, kDisk };
   Kind kind = Kind::kStall;
-  Ms at = 0, lasts = 0;         // of kKill: until it is started again; 0: at once; below 0: never
+  Ms at = 0, lasts = 0;          // of kKill: until it is started again; 0: at once; below 0: never
   uint32_t node = 0, other = 0;  // of cuts: between these; other == node: from everybody
-  bool forgets = false;         // kKill: what it had on disk is gone
+  bool forgets = false;          // kKill: what it had on disk is gone
 };
 
 struct FleetOptions {
@@ -30,11 +31,11 @@
   uint32_t merges = 2;                 // each asked of three gateways, at drawn moments
   Ms span = 30000, lease = 1000;
   Ms delay_least = 0.2, delay_most = 2;
-  double late = 0;       // part of messages that take up to two leases
+  double late = 0;  // part of messages that take up to two leases
   double lost = 0, repeated = 0;
-  double drift = 0.009;  // between the fastest and the slowest clock
-  bool folders = true;   // keepers have disks
-  double faults = 0;     // a second of span, drawn; 0: those given alone
+  double drift = 0.009;   // between the fastest and the slowest clock
+  bool folders = true;    // keepers have disks
+  double faults = 0;      // a second of span, drawn; 0: those given alone
   bool forgetful = true;  // among the drawn faults are kills of keepers with their disks, one at a time
   std::vector<FleetFault> given;
   uint32_t readers = 2;  // gateways that read and change one fact of the record again and again
@@ -45,10 +46,10 @@
   std::vector<FleetBreach> breaches;
   uint64_t hash = 0;  // of the whole history
   uint64_t messages = 0, events = 0, taken = 0, acts = 0, refused = 0;
-  std::vector<Ms> gaps;       // between the end of one holder's say and the next one's beginning
+  std::vector<Ms> gaps;            // between the end of one holder's say and the next one's beginning
   std::vector<FleetFault> faults;  // those given and drawn
-  uint32_t merges_ended = 0;  // of which at least one who asked was told rows
-  size_t unheld_at_end = 0;   // duties that nobody held when it ended
+  uint32_t merges_ended = 0;       // of which at least one who asked was told rows
+  size_t unheld_at_end = 0;        // duties that nobody held when it ended
 };
 
 FleetOutcome play(const FleetOptions& options);
--- a/src/lab/judge.h
+++ b/src/lab/judge.h
@@ -60,7 +60,8 @@
 std::vector<FleetBreach> judge(const FleetHistory& history);
 
 // Reads the logs of processes, JSON a line: `duty.taken`, `duty.renewed`, `duty.left` and `duty.lost` with
-// `duty`, `epoch`, `at_ms` and, of the first two, `until_ms`, into spans. Lines of other events are passed over.
+// `duty`, `epoch`, `at_ms` and, of the first two, `until_ms`, into spans. Lines of other events are passed
+// over.
 void read_spans(const std::string& holder, const std::string& log, FleetHistory& into);
 
 }  // namespace firvalve::lab
--- a/src/net/clients.cpp
+++ b/src/net/clients.cpp
@@ -158,8 +158,9 @@
         const CallRef ref = ++owner_.last_call_;
         open_calls[call.id] = ref;
         owner_.open_[ref] = {this, call.id, {}};
-        owner_.fleet_->bulletin(loop_.now(), call.profile, call.name, call.statement, call.timeout,
-                                [&owner = owner_, ref](const FleetCalls::Told& told) { owner.reply(ref, told); });
+        owner_.fleet_->bulletin(
+            loop_.now(), call.profile, call.name, call.statement, call.timeout,
+            [&owner = owner_, ref](const FleetCalls::Told& told) { owner.reply(ref, told); });
         break;
       }
       [[fallthrough]];
@@ -353,7 +354,8 @@
       case Kind::kBadParams:
         return proto::append_error(out, id, true, -32602, told.text);
       case Kind::kNoMajority:
-        return proto::append_error(out, id, true, proto::kRpcNoMajority, "no majority of keepers: nothing was changed");
+        return proto::append_error(out, id, true, proto::kRpcNoMajority,
+                                   "no majority of keepers: nothing was changed");
       case Kind::kUnknown:
         return proto::append_error(out, id, true, proto::kRpcMayBeMade, "it may have been made: ask again");
     }
--- a/src/net/clients.h
+++ b/src/net/clients.h
@@ -50,7 +50,7 @@
   Counters& counters_;
   Core* core_ = nullptr;
   FleetCalls* fleet_ = nullptr;  // none: this gateway is in no fleet
-  Shelf* shelf_ = nullptr;  // none: there are no paged answers
+  Shelf* shelf_ = nullptr;       // none: there are no paged answers
   Poco::Net::ServerSocket listener_;
   bool accepting_ = false, marks_ = false;
   Ms look_at_ = 0;
--- a/src/proto/jsonrpc/reply.cpp
+++ b/src/proto/jsonrpc/reply.cpp
@@ -52,7 +52,8 @@
   std::string body = fmt::format(R"({{"jsonrpc":"2.0","id":{},"method":{},"params":{{"req":"{}",)", c.id,
                                  quoted(c.merge.empty() ? c.profile : "merge"), c.req);
   if (!c.merge.empty())
-    fmt::format_to(std::back_inserter(body), R"("name":{},"profile":{},)", quoted(c.merge), quoted(c.profile));
+    fmt::format_to(std::back_inserter(body), R"("name":{},"profile":{},)", quoted(c.merge),
+                   quoted(c.profile));
   if (!c.first.empty()) fmt::format_to(std::back_inserter(body), R"("first":"{}",)", c.first);
   if (c.paged) body += R"("paged":true,)";
   if (!c.key.empty()) fmt::format_to(std::back_inserter(body), R"("key":{},)", quoted(c.key));
--- a/src/proto/jsonrpc/reply.h
+++ b/src/proto/jsonrpc/reply.h
@@ -21,8 +21,8 @@
   std::string_view first;  // the first req of a chain of repeats; empty: not told
   Ms timeout = 0, estimate = 0;
   double memory_mb = 0;
-  bool paged = false;         // the rows are wanted as pages
-  std::string_view key = {};  // that the pages are bound to; empty: nothing
+  bool paged = false;           // the rows are wanted as pages
+  std::string_view key = {};    // that the pages are bound to; empty: nothing
   std::string_view merge = {};  // it runs once under this name over the whole fleet; empty: as any command
 };
 void append_command(std::string& out, const RpcCommand& command);
--- a/src/proto/jsonrpc/rpc.cpp
+++ b/src/proto/jsonrpc/rpc.cpp
@@ -1,7 +1,6 @@
 #include "proto/jsonrpc/rpc.h"
 
 #include <fmt/format.h>
-
 #include <rapidjson/stringbuffer.h>
 #include <rapidjson/writer.h>
 
@@ -189,9 +188,10 @@
 }
 
 void append_refused_change(std::string& out, int64_t id, std::string_view breaches) {
-  append_message(out, fmt::format(R"({{"jsonrpc":"2.0","id":{},"error":{{"code":{},"message":"refused: it would )"
-                                  R"(break subscribers or itself","data":{{"breaches":{}}}}}}})",
-                                  id, kRpcRefusedChange, breaches));
+  append_message(out,
+                 fmt::format(R"({{"jsonrpc":"2.0","id":{},"error":{{"code":{},"message":"refused: it would )"
+                             R"(break subscribers or itself","data":{{"breaches":{}}}}}}})",
+                             id, kRpcRefusedChange, breaches));
 }
 
 void append_error(std::string& out, int64_t id, bool has_id, int code, std::string_view message) {
--- a/src/proto/jsonrpc/rpc.h
+++ b/src/proto/jsonrpc/rpc.h
@@ -40,16 +40,17 @@
   // Of paged results:
   bool paged = false;           // a command whose rows are wanted as pages
   std::string_view key, token;  // slices; key: what its pages are bound to, empty: nothing
-  // kMerge: a slice; the command runs once under it over the whole fleet. kBulletin: the bulletin's; `profile` is
-  // what is asked for, `statement` all params as JSON.
+  // kMerge: a slice; the command runs once under it over the whole fleet. kBulletin: the bulletin's;
+  // `profile` is what is asked for, `statement` all params as JSON.
   std::string_view name;
-  uint64_t page = 0;            // kPage: the one wanted, from 1; 0: not told, or none that can be
-  int64_t revoked = 0;          // the id of the request given up, 0: told by the command alone
+  uint64_t page = 0;    // kPage: the one wanted, from 1; 0: not told, or none that can be
+  int64_t revoked = 0;  // the id of the request given up, 0: told by the command alone
   Ms timeout = 0, estimate = 0, memory_mb = 0;
   std::string statement;  // decoded: it outlives the message
 };
 
-constexpr Ms kRpcBulletinMost = 5000;  // for a change of a bulletin to be agreed, where its client does not say
+constexpr Ms kRpcBulletinMost =
+    5000;  // for a change of a bulletin to be agreed, where its client does not say
 
 bool is_bulletin_method(std::string_view method);
 bool is_command_id(std::string_view text);  // 16 hex digits
@@ -67,7 +68,7 @@
 void append_page(std::string& out, int64_t id, uint64_t page, uint64_t pages, std::string_view rows);
 void append_released(std::string& out, int64_t id);
 void append_json_result(std::string& out, int64_t id, std::string_view json);
-void append_refused_change(std::string& out, int64_t id, std::string_view breaches);  // a JSON list
+void append_refused_change(std::string& out, int64_t id, std::string_view breaches);        // a JSON list
 constexpr int kRpcRefusedChange = -32010, kRpcNoMajority = -32011, kRpcMayBeMade = -32012;  // of a bulletin
 constexpr int kRpcFailed = -32000, kRpcShed = -32001, kRpcGone = -32002, kRpcNoSuchPage = -32003,
               kRpcUnreadable = -32700;
--- a/src/record/asker.cpp
+++ b/src/record/asker.cpp
@@ -11,7 +11,18 @@
 
 void Asker::ask(Ms now, Wish wish) {
   const uint64_t seed = terms_.seed + ++drawn_;
-  Round round{std::move(wish), now, {}, {}, {}, false, {}, {}, {}, 0, 0, 0,
+  Round round{std::move(wish),
+              now,
+              {},
+              {},
+              {},
+              false,
+              {},
+              {},
+              {},
+              0,
+              0,
+              0,
               Again(terms_.first_wait, terms_.longest_wait, seed)};
   attempt(now, std::move(round));
 }
@@ -105,9 +116,9 @@
   const Fact found = highest->fact;
   // What a majority holds under one ballot stands. Anything that this wish itself had offered under a later
   // one could still come to stand.
-  const bool stands = highest->held >= round.offered &&
-                      std::all_of(answers.begin(), answers.end(),
-                                  [&](const Answer* a) { return a->held == highest->held; });
+  const bool stands =
+      highest->held >= round.offered &&
+      std::all_of(answers.begin(), answers.end(), [&](const Answer* a) { return a->held == highest->held; });
   round.fact = found;
   if (round.wish.id == 0)
     round.outcome = End::Kind::kRead;
@@ -127,8 +138,7 @@
     round.mine_offered = true;
   }
   const bool changes = round.fact.change != found.change;
-  const bool unfinished =
-      planted(Flaw::kConflictUnfinished) && round.outcome == End::Kind::kConflict;
+  const bool unfinished = planted(Flaw::kConflictUnfinished) && round.outcome == End::Kind::kConflict;
   if ((stands && !changes) || unfinished) {
     end(round, round.outcome, found);
     rounds_.erase(at);
--- a/src/record/asker.h
+++ b/src/record/asker.h
@@ -1,5 +1,5 @@
-// Whoever wants the record changed or read: asks the keepers, a majority of them twice, and tells what came of
-// it. No I/O and no clock; the chance of its waits comes from its seed.
+// Whoever wants the record changed or read: asks the keepers, a majority of them twice, and tells what came
+// of it. No I/O and no clock; the chance of its waits comes from its seed.
 //
 // A wish ends as
 //  - agreed: the change stands, on top of the change that it named;
@@ -25,8 +25,8 @@
   uint32_t keepers = 3;
   uint64_t asker = 1;  // nobody else's: drawn at each start
   uint64_t seed = 1;
-  Ms patience = 120;  // for a keeper's answer, then it is asked once more
-  int repeats = 3;    // after so many without a majority, anew
+  Ms patience = 120;                       // for a keeper's answer, then it is asked once more
+  int repeats = 3;                         // after so many without a majority, anew
   Ms first_wait = 10, longest_wait = 400;  // after a refusal
 };
 
@@ -76,7 +76,7 @@
     enum class Phase : uint8_t { kWaits, kPrepares, kAccepts } phase = Phase::kWaits;
     Ballot ballot, offered;  // this attempt's; the highest under which anything was offered to keepers
     bool mine_offered = false;
-    Fact fact;  // offered now
+    Fact fact;                                // offered now
     End::Kind outcome = End::Kind::kUnknown;  // once that is accepted
     std::map<Peer, Answer> answers;
     uint32_t refusals = 0;
--- a/src/record/digest.h
+++ b/src/record/digest.h
@@ -12,8 +12,7 @@
 class Digest {
  public:
   template <class Number>
-    requires std::is_arithmetic_v<Number>
-  Digest& add(Number value) {
+  requires std::is_arithmetic_v<Number> Digest& add(Number value) {
     text_.append(reinterpret_cast<const char*>(&value), sizeof value);
     return *this;
   }
--- a/src/record/fact.h
+++ b/src/record/fact.h
@@ -1,6 +1,7 @@
 // The agreed record: the few facts of which the fleet may have only one. Each fact stands under a key by
 // itself and is changed by compare-and-set: a change names the change that it builds on and is agreed only
-// on top of that one. There is no log, no leader and no term; what a keeper has to remember is one slot a key.
+// on top of that one. There is no log, no leader and no term; what a keeper has to remember is one slot a
+// key.
 //
 // Keepers answer (keeper.h), whoever wants something asks a majority of them (asker.h). Neither does I/O nor
 // reads a clock: messages and times come in, messages and what must be kept go out. The algorithm is
@@ -54,17 +55,17 @@
 using Life = uint64_t;
 
 enum class Say : uint8_t {
-  kPrepare = 1,   // asker: op, key, ballot
-  kPromise,       // keeper: op, ballot, held, fact, life, lives
-  kAccept,        // asker: op, key, ballot, fact
-  kAccepted,      // keeper: op, ballot, life, lives
-  kRefused,       // keeper: op, ballot (the one promised), or no room: full
-  kLook,          // looker: op, life (the keeper's that `since` is of), since
-  kChanges,       // keeper: op, life, since (to go on from), entries, more
-  kStanding,      // keeper without a memory: op (its life)
-  kStandingIs,    // keeper: op, life, full, lives, founders
-  kFetch,         // keeper that recovers: op (its life), key (that it has all up to)
-  kState,         // keeper: op, life, lives, entries, more
+  kPrepare = 1,  // asker: op, key, ballot
+  kPromise,      // keeper: op, ballot, held, fact, life, lives
+  kAccept,       // asker: op, key, ballot, fact
+  kAccepted,     // keeper: op, ballot, life, lives
+  kRefused,      // keeper: op, ballot (the one promised), or no room: full
+  kLook,         // looker: op, life (the keeper's that `since` is of), since
+  kChanges,      // keeper: op, life, since (to go on from), entries, more
+  kStanding,     // keeper without a memory: op (its life)
+  kStandingIs,   // keeper: op, life, full, lives, founders
+  kFetch,        // keeper that recovers: op (its life), key (that it has all up to)
+  kState,        // keeper: op, life, lives, entries, more
 };
 
 struct Message {
@@ -86,7 +87,7 @@
   Message message;
 };
 
-constexpr size_t kKeyMost = 400;            // bytes of a key
+constexpr size_t kKeyMost = 400;           // bytes of a key
 constexpr size_t kValueMost = 512 * 1024;  // bytes of a value
 
 constexpr uint32_t majority(uint32_t keepers) { return keepers / 2 + 1; }
--- a/src/record/keeper.h
+++ b/src/record/keeper.h
@@ -23,8 +23,8 @@
 
 struct KeeperTerms {
   uint32_t self = 0, keepers = 3;
-  Ms ask_again = 200;   // between questions while it has no memory
-  Ms look_every = 250;  // changes that are not urgent are told to lookers so often
+  Ms ask_again = 200;      // between questions while it has no memory
+  Ms look_every = 250;     // changes that are not urgent are told to lookers so often
   Ms look_longest = 1000;  // a look with nothing to tell is answered after it
   size_t page = 64;        // facts in one message
   size_t facts_most = 65536;
--- a/src/schema/check.cpp
+++ b/src/schema/check.cpp
@@ -99,16 +99,18 @@
 
 // A value of this type, within the field's range; of choices only known ones.
 std::string value_fault(const Field& f, const Value& v) {
-  const bool right = f.type == Type::kBool                        ? std::holds_alternative<bool>(v)
-                     : f.type == Type::kText                      ? std::holds_alternative<std::string>(v)
+  const bool right = f.type == Type::kBool                         ? std::holds_alternative<bool>(v)
+                     : f.type == Type::kText                       ? std::holds_alternative<std::string>(v)
                      : integers(f.type) || f.type == Type::kChoice ? std::holds_alternative<int64_t>(v)
                                                                    : std::holds_alternative<double>(v);
   if (!right) return fmt::format("{} is no {}", shown(f), name_of(f.type));
   if (f.type == Type::kChoice)
-    return f.choices.count(std::get<int64_t>(v)) ? "" : fmt::format("{} has no choice {}", shown(f), std::get<int64_t>(v));
+    return f.choices.count(std::get<int64_t>(v))
+               ? ""
+               : fmt::format("{} has no choice {}", shown(f), std::get<int64_t>(v));
   if (f.type == Type::kBool) return "";
   const Span s = span_of(f);
-  const double amount = f.type == Type::kText        ? static_cast<double>(std::get<std::string>(v).size())
+  const double amount = f.type == Type::kText ? static_cast<double>(std::get<std::string>(v).size())
                         : std::holds_alternative<double>(v) ? std::get<double>(v)
                                                             : static_cast<double>(std::get<int64_t>(v));
   // Written so that a value that is no number is out of range, too.
@@ -136,7 +138,8 @@
     if (f.name.empty()) breach(f.number, fmt::format("field {} has no name", f.number));
     if (!names.insert(f.name).second) breach(f.number, fmt::format("the name {} stands twice", f.name));
     if ((f.type == Type::kChoice) != !f.choices.empty())
-      breach(f.number, fmt::format("{}: choices belong to a field of type choice, which has at least one", shown(f)));
+      breach(f.number,
+             fmt::format("{}: choices belong to a field of type choice, which has at least one", shown(f)));
     std::set<std::string> choices;
     for (const auto& [value, name] : f.choices)
       if (!choices.insert(name).second)
@@ -196,19 +199,25 @@
   for (const Field& f : s.fields) {
     const auto number = by_number.find(f.number);
     if (number != by_number.end() && number->second != f.name)
-      out.push_back({Rule::kNumberReused, f.number,
-                     fmt::format("{} has always been {}", f.number, number->second), {},
+      out.push_back({Rule::kNumberReused,
+                     f.number,
+                     fmt::format("{} has always been {}", f.number, number->second),
+                     {},
                      {fmt::format("give {} a number that no version has used", f.name)}});
     const auto name = by_name.find(f.name);
     if (name != by_name.end() && name->second != f.number)
-      out.push_back({Rule::kNameReused, f.number,
-                     fmt::format("{} has always been field {}", f.name, name->second), {},
+      out.push_back({Rule::kNameReused,
+                     f.number,
+                     fmt::format("{} has always been field {}", f.name, name->second),
+                     {},
                      {fmt::format("give field {} a name that no version has used", f.number)}});
     for (const auto& [value, choice] : f.choices) {
       const auto before = choices.find({f.number, value});
       if (before != choices.end() && before->second != choice)
-        out.push_back({Rule::kChoiceReused, f.number,
-                       fmt::format("{}: {} has always been {}", shown(f), value, before->second), {},
+        out.push_back({Rule::kChoiceReused,
+                       f.number,
+                       fmt::format("{}: {} has always been {}", shown(f), value, before->second),
+                       {},
                        {fmt::format("give {} a value that no version has used", choice)}});
     }
   }
@@ -227,8 +236,8 @@
 
 const char* name_of(Rule rule) {
   static const char* const kNames[] = {
-      "malformed",     "number_reused",  "name_reused",  "taken_away",     "made_optional",  "type_narrowed",
-      "unit_changed",  "range_widened",  "choice_added", "choice_reused",  "preset_changed", "key_changed",
+      "malformed",     "number_reused",  "name_reused",  "taken_away",      "made_optional",  "type_narrowed",
+      "unit_changed",  "range_widened",  "choice_added", "choice_reused",   "preset_changed", "key_changed",
       "order_changed", "required_added", "still_spoken", "no_such_version", "no_such_field"};
   return kNames[static_cast<size_t>(rule)];
 }
@@ -270,8 +279,10 @@
       continue;
     }
     if (r.required && !w->required && !w->preset)
-      breach(Rule::kMadeOptional, r.number, fmt::format("{} may be missing, and nothing stands for it", shown(r)),
-             {fmt::format("give {} a preset, or keep it required until the subscribers named do without", r.name)});
+      breach(Rule::kMadeOptional, r.number,
+             fmt::format("{} may be missing, and nothing stands for it", shown(r)),
+             {fmt::format("give {} a preset, or keep it required until the subscribers named do without",
+                          r.name)});
     if (!convertible(*w, r)) {
       breach(Rule::kTypeNarrowed, r.number,
              fmt::format("{} comes as {} and is read as {}", shown(r), name_of(w->type), name_of(r.type)),
@@ -284,17 +295,20 @@
              beside(r.name, {}));
     const Span theirs = span_of(*w), ours = span_of(r);
     // Where only the type of integers is wider, convertible() has looked at what may come.
-    const bool wider = w->type == r.type || w->type == Type::kText ? !theirs.within(ours)
-                       : (r.least && theirs.least < *r.least) || (r.most && theirs.most > *r.most);
+    const bool wider = w->type == r.type || w->type == Type::kText
+                           ? !theirs.within(ours)
+                           : (r.least && theirs.least < *r.least) || (r.most && theirs.most > *r.most);
     if (wider && r.type != Type::kChoice && r.type != Type::kBool)
       breach(Rule::kRangeWidened, r.number, fmt::format("{} may come past what is read", shown(r)),
-             {fmt::format("keep {} within its range, or", r.name), "add a new field beside it with the wider one",
+             {fmt::format("keep {} within its range, or", r.name),
+              "add a new field beside it with the wider one",
               "let the subscribers named declare versions that read that"});
     if (r.type == Type::kChoice && !reader.passes_unknown)
       for (const auto& [value, name] : w->choices)
         if (!r.choices.count(value))
           breach(Rule::kChoiceAdded, r.number, fmt::format("{} may come as {} ({})", shown(r), name, value),
-                 {"let the subscribers named declare that they pass over unknown values, or a version that has it"});
+                 {"let the subscribers named declare that they pass over unknown values, or a version that "
+                  "has it"});
     if (r.type == Type::kChoice)
       for (const auto& [value, name] : w->choices)
         if (const auto at = r.choices.find(value); at != r.choices.end() && at->second != name)
@@ -336,11 +350,13 @@
       if (!f.required || f.preset) continue;
       const Field* const before = v.schema.find(f.number);
       if (before && (before->required || before->preset)) continue;
-      merge(all, {Rule::kRequiredAdded, f.number,
-                  fmt::format("{} is required, and version {} is still published without it", shown(f), v.number),
-                  {},
-                  {fmt::format("add {} with a preset or not required", f.name),
-                   fmt::format("or let version {} be deprecated first", v.number)}});
+      merge(all,
+            {Rule::kRequiredAdded,
+             f.number,
+             fmt::format("{} is required, and version {} is still published without it", shown(f), v.number),
+             {},
+             {fmt::format("add {} with a preset or not required", f.name),
+              fmt::format("or let version {} be deprecated first", v.number)}});
     }
   }
   return sorted(std::move(all));
@@ -356,13 +372,15 @@
   for (const Declaration& d : bulletin.declarations) {
     if (!d.versions.count(version)) continue;
     const auto versions = spoken(bulletin, d);
-    const bool other = std::any_of(versions.begin(), versions.end(), [&](const Version* const o) {
-      return o->number != version;
-    });
+    const bool other = std::any_of(versions.begin(), versions.end(),
+                                   [&](const Version* const o) { return o->number != version; });
     if (!other)
-      merge(all, {Rule::kStillSpoken, 0, fmt::format("version {} is the only one that some speak", version),
-                  {{d.subscriber, d.site, version}},
-                  {"let the subscribers named declare a later version, or wait until their declarations end"}});
+      merge(all,
+            {Rule::kStillSpoken,
+             0,
+             fmt::format("version {} is the only one that some speak", version),
+             {{d.subscriber, d.site, version}},
+             {"let the subscribers named declare a later version, or wait until their declarations end"}});
   }
   return sorted(std::move(all));
 }
@@ -430,7 +448,8 @@
       value = s.preset;
     if (!value) continue;
     const bool real = s.type == Type::kFloat32 || s.type == Type::kFloat64;
-    if (real && std::holds_alternative<int64_t>(*value)) value = static_cast<double>(std::get<int64_t>(*value));
+    if (real && std::holds_alternative<int64_t>(*value))
+      value = static_cast<double>(std::get<int64_t>(*value));
     out.emplace(s.field, std::move(*value));
   }
   // What remains may be a choice that the reader passes over, or a field that it does not read and that is
--- a/src/schema/check.h
+++ b/src/schema/check.h
@@ -1,6 +1,6 @@
-// The checker of changes: whether a version may be added or taken away, a declaration be made, a notice be sent.
-// Pure functions: the same bulletin and proposal give the same verdict everywhere, in whatever order its
-// declarations came, and a declaration more never takes a breach away.
+// The checker of changes: whether a version may be added or taken away, a declaration be made, a notice be
+// sent. Pure functions: the same bulletin and proposal give the same verdict everywhere, in whatever order
+// its declarations came, and a declaration more never takes a breach away.
 #pragma once
 
 #include <string>
@@ -40,9 +40,9 @@
 
 struct Breach {
   Rule rule = Rule::kMalformed;
-  uint32_t field = 0;  // its number; 0: of the whole
-  std::string what;    // a sentence
-  std::vector<Reader> readers;  // whom it would break; empty: nobody in particular
+  uint32_t field = 0;                // its number; 0: of the whole
+  std::string what;                  // a sentence
+  std::vector<Reader> readers;       // whom it would break; empty: nobody in particular
   std::vector<std::string> way_out;  // steps, in order
   bool operator==(const Breach&) const = default;
 };
--- a/src/schema/registry.cpp
+++ b/src/schema/registry.cpp
@@ -26,7 +26,8 @@
           return out;
         }
       if (before.versions.size() >= kVersionsMost || c.schema.fields.size() > kFieldsMost) {
-        refuse(Rule::kMalformed, fmt::format("{} versions of {} fields are the most", kVersionsMost, kFieldsMost));
+        refuse(Rule::kMalformed,
+               fmt::format("{} versions of {} fields are the most", kVersionsMost, kFieldsMost));
         return out;
       }
       out.verdict = check_new(before, c.schema);
@@ -41,7 +42,8 @@
       Version* v = nullptr;
       for (Version& each : out.after.versions)
         if (each.number == c.version && each.state != State::kGone) v = &each;
-      if (!v && out.verdict.good()) refuse(Rule::kNoSuchVersion, fmt::format("there is no version {}", c.version));
+      if (!v && out.verdict.good())
+        refuse(Rule::kNoSuchVersion, fmt::format("there is no version {}", c.version));
       if (!out.verdict.good()) return out;
       out.version = c.version;
       v->state = c.kind == Kind::kRetire ? State::kGone : State::kDeprecated;
@@ -55,10 +57,9 @@
       out.verdict = check_declaration(before, c.declaration);
       if (!out.verdict.good()) return out;
       auto& all = out.after.declarations;
-      const auto at = std::lower_bound(all.begin(), all.end(), c.declaration,
-                                       [](const Declaration& a, const Declaration& b) {
-                                         return a.subscriber < b.subscriber;
-                                       });
+      const auto at = std::lower_bound(
+          all.begin(), all.end(), c.declaration,
+          [](const Declaration& a, const Declaration& b) { return a.subscriber < b.subscriber; });
       if (at != all.end() && at->subscriber == c.declaration.subscriber)
         *at = c.declaration;
       else
@@ -104,8 +105,7 @@
 void Registry::finish(uint64_t number, End::Kind kind) {
   const auto at = open_.find(number);
   Open& o = at->second;
-  ends_.push_back(
-      {number, kind, std::move(o.applied), o.change.bulletin, o.change.kind});
+  ends_.push_back({number, kind, std::move(o.applied), o.change.bulletin, o.change.kind});
   open_.erase(at);
 }
 
--- a/src/schema/registry.h
+++ b/src/schema/registry.h
@@ -1,8 +1,8 @@
 // Changes of a bulletin's versions and declarations, agreed in the record. No I/O and no clock.
 //
-// A bulletin is one fact. Each change reads it, is checked against exactly what it read, and is agreed only on
-// top of that: where another change comes first, it is read and checked anew. So nothing is agreed that was
-// checked against declarations that were not those in force.
+// A bulletin is one fact. Each change reads it, is checked against exactly what it read, and is agreed only
+// on top of that: where another change comes first, it is read and checked anew. So nothing is agreed that
+// was checked against declarations that were not those in force.
 #pragma once
 
 #include <functional>
@@ -40,15 +40,16 @@
 };
 Applied apply(const Bulletin& before, const Change& change);
 
-// The form in which bulletins stand in the record, and parts of it come from clients: JSON. None: it cannot be
-// read; `why` says where.
+// The form in which bulletins stand in the record, and parts of it come from clients: JSON. None: it cannot
+// be read; `why` says where.
 std::string written(const Bulletin& bulletin);
 std::optional<Bulletin> read_bulletin(const std::string& json, std::string& why);
 std::optional<Schema> read_schema(const std::string& json, std::string& why);
 std::optional<Declaration> read_declaration(const std::string& json, std::string& why);
-// All that a client tells of one: `schema`, `version`, and a declaration's own fields. Its kind is the method's.
+// All that a client tells of one: `schema`, `version`, and a declaration's own fields. Its kind is the
+// method's.
 std::optional<Change> read_change(const std::string& json, std::string& why);
-std::string missing(const Change& change);  // what its kind wants and is not told; empty: nothing
+std::string missing(const Change& change);    // what its kind wants and is not told; empty: nothing
 std::string written(const Verdict& verdict);  // a JSON list of breaches
 
 constexpr size_t kVersionsMost = 256, kFieldsMost = 1024, kDeclarationsMost = 8192;
--- a/src/schema/schema.h
+++ b/src/schema/schema.h
@@ -2,8 +2,8 @@
 //
 // A bulletin has versions of its schema. A notice is published under one of them; whoever subscribes declares
 // which versions it speaks and which fields it reads, and gets each notice in a version that it speaks, or it
-// is not served at all. So a new version may stand only where every declaration in force can still be given what
-// it reads: the checker (check.h) says so, or tells every breach.
+// is not served at all. So a new version may stand only where every declaration in force can still be given
+// what it reads: the checker (check.h) says so, or tells every breach.
 #pragma once
 
 #include <cstdint>
@@ -25,18 +25,19 @@
   uint32_t number = 0;  // from 1; for ever this field's, whatever becomes of it
   std::string name;     // the same
   Type type = Type::kText;
-  std::string unit;     // of a number: "MB", "ms", "cabins"; empty: none
+  std::string unit;  // of a number: "MB", "ms", "cabins"; empty: none
   bool required = false;
-  std::optional<Value> preset;         // what stands for it where it is not told
-  std::optional<double> least, most;   // of a number; of a text `most` is its length in bytes
+  std::optional<Value> preset;             // what stands for it where it is not told
+  std::optional<double> least, most;       // of a number; of a text `most` is its length in bytes
   std::map<int64_t, std::string> choices;  // of a choice: names by number
   bool operator==(const Field&) const = default;
 };
 
 struct Schema {
-  std::vector<Field> fields;          // by number, ascending
-  std::vector<uint32_t> key;          // fields whose values name what a notice is about; a later one stands for it
-  std::string order = "number";       // what readers may rely on: "number" (one order for all) or "key" (for each key)
+  std::vector<Field> fields;  // by number, ascending
+  std::vector<uint32_t> key;  // fields whose values name what a notice is about; a later one stands for it
+  std::string order =
+      "number";  // what readers may rely on: "number" (one order for all) or "key" (for each key)
   const Field* find(uint32_t number) const;
   const Field* find(const std::string& name) const;
   bool operator==(const Schema&) const = default;
@@ -64,8 +65,8 @@
 };
 
 struct Bulletin {
-  std::vector<Version> versions;            // by number, ascending; those that are gone stay
-  std::vector<Declaration> declarations;    // by subscriber, ascending
+  std::vector<Version> versions;          // by number, ascending; those that are gone stay
+  std::vector<Declaration> declarations;  // by subscriber, ascending
   const Version* find(uint32_t number) const;
   bool operator==(const Bulletin&) const = default;
 };
--- a/src/schema/text.cpp
+++ b/src/schema/text.cpp
@@ -98,7 +98,8 @@
     case Type::kBool:
       return v.IsBool() ? std::optional<Value>(v.GetBool()) : std::nullopt;
     case Type::kText:
-      return v.IsString() ? std::optional<Value>(std::string(v.GetString(), v.GetStringLength())) : std::nullopt;
+      return v.IsString() ? std::optional<Value>(std::string(v.GetString(), v.GetStringLength()))
+                          : std::nullopt;
     case Type::kFloat32:
     case Type::kFloat64:
       return v.IsNumber() ? std::optional<Value>(v.GetDouble()) : std::nullopt;
@@ -136,7 +137,8 @@
     s.fields.push_back(std::move(f));
     if (s.fields.size() > kFieldsMost) in.fail("", "is one field too many");
   });
-  std::sort(s.fields.begin(), s.fields.end(), [](const Field& a, const Field& b) { return a.number < b.number; });
+  std::sort(s.fields.begin(), s.fields.end(),
+            [](const Field& a, const Field& b) { return a.number < b.number; });
   r.each("key", [&](const Json& v, const std::string&) {
     if (!v.IsUint()) return r.fail("key", "is no list of field numbers");
     s.key.push_back(v.GetUint());
@@ -288,8 +290,9 @@
       if (const Json* const s = each.find("schema")) version.schema = schema_of(*s, at + ".schema", why);
       out.versions.push_back(std::move(version));
     });
-    r.each("declarations",
-           [&](const Json& v, const std::string& at) { out.declarations.push_back(declaration_of(v, at, why)); });
+    r.each("declarations", [&](const Json& v, const std::string& at) {
+      out.declarations.push_back(declaration_of(v, at, why));
+    });
     return out;
   });
 }
@@ -336,7 +339,8 @@
     w.EndArray();
     w.Key("way_out");
     w.StartArray();
-    for (const std::string& step : b.way_out) w.String(step.data(), static_cast<rapidjson::SizeType>(step.size()));
+    for (const std::string& step : b.way_out)
+      w.String(step.data(), static_cast<rapidjson::SizeType>(step.size()));
     w.EndArray();
     w.EndObject();
   }
--- a/src/standin/between.h
+++ b/src/standin/between.h
@@ -1,6 +1,6 @@
-// The network between gateways of a fleet, as it may fail: each gateway is reached at an address here, and what
-// its peers say to it passes through, frame by frame. Each ordered pair of gateways has terms of its own, which a
-// test sets and changes. Chance comes from a seed; what the system's scheduling adds does not.
+// The network between gateways of a fleet, as it may fail: each gateway is reached at an address here, and
+// what its peers say to it passes through, frame by frame. Each ordered pair of gateways has terms of its
+// own, which a test sets and changes. Chance comes from a seed; what the system's scheduling adds does not.
 #pragma once
 
 #include <map>
@@ -17,7 +17,7 @@
 class Between {
  public:
   struct Terms {
-    double lost = 0, repeated = 0;      // parts of the frames
+    double lost = 0, repeated = 0;       // parts of the frames
     Ms delay_least = 0, delay_most = 0;  // of each frame
     bool reordered = false;              // delayed ones may pass each other
     bool held = false;                   // frames wait here until this ends
@@ -29,13 +29,14 @@
   Between(Host& host, uint64_t seed);
   ~Between();
 
-  // The address under which its peers reach the gateway that listens at `real`. Gateways count from 0.
-  std::string stand_before(const std::string& real);
+  // Before the gateway that listens at `real`; gateways count from 0 in the order of these calls.
+  // The address under which its peers reach it is `address`.
+  std::string stand_before(const std::string& real, const std::string& address);
   void set(size_t from, size_t to, const Terms& terms);
   void set_both(size_t a, size_t b, const Terms& terms);
   void set_all(const Terms& terms);
   void set_apart(size_t one, const Terms& terms);  // from and to everybody
-  uint64_t passed() const;  // frames
+  uint64_t passed() const;                         // frames
   uint64_t bytes(size_t from, size_t to) const;
 
  private:
--- a/src/standin/crowd.cpp
+++ b/src/standin/crowd.cpp
@@ -46,11 +46,12 @@
   place_ = name;
   between_ = std::make_unique<Between>(host_, terms.seed);
   std::vector<std::string> keepers;
+  const std::vector<std::string> free = free_addresses(3 * terms.gateways);
   for (size_t i = 0; i < terms.gateways; ++i) {
     Member& m = members_.emplace_back();
-    m.clients = free_address();
-    m.real = free_address();
-    m.name = between_->stand_before(m.real);
+    m.clients = free[3 * i];
+    m.real = free[3 * i + 1];
+    m.name = between_->stand_before(m.real, free[3 * i + 2]);
     m.log = fmt::format("{}/{}.log", place_, i);
     if (i < terms.keepers) keepers.push_back(m.name);
   }
--- a/src/standin/crowd.h
+++ b/src/standin/crowd.h
@@ -1,5 +1,5 @@
-// Several processes of the gateway's program as one fleet on loopback: engines and an event bus beside them, the
-// network between them as it may fail (between.h), and what they log, as it comes.
+// Several processes of the gateway's program as one fleet on loopback: engines and an event bus beside them,
+// the network between them as it may fail (between.h), and what they log, as it comes.
 #pragma once
 
 #include <map>
@@ -31,18 +31,18 @@
   size_t size() const { return members_.size(); }
   Process& process(size_t i) { return *members_[i].process; }
   bool up(size_t i) const { return members_[i].up; }
-  void kill(size_t i);               // SIGKILL
-  int end(size_t i);                 // SIGTERM; its exit code
-  void start(size_t i);              // again, at the same addresses
-  void forget(size_t i);             // what it had on disk
-  void pause(size_t i), go_on(size_t i);  // SIGSTOP, SIGCONT
+  void kill(size_t i);                                                     // SIGKILL
+  int end(size_t i);                                                       // SIGTERM; its exit code
+  void start(size_t i);                                                    // again, at the same addresses
+  void forget(size_t i);                                                   // what it had on disk
+  void pause(size_t i), go_on(size_t i);                                   // SIGSTOP, SIGCONT
   void rewrite(size_t i, const std::string& from, const std::string& to);  // in its operator's file
 
   Between& between() { return *between_; }
   Fleet& engines() { return engines_; }
   const std::string& clients(size_t i) const { return members_[i].clients; }  // where its clients connect
-  const std::string& peers(size_t i) const { return members_[i].real; }        // where its peers' bytes arrive
-  const std::string& name(size_t i) const { return members_[i].name; }         // as its peers know it
+  const std::string& peers(size_t i) const { return members_[i].real; }       // where its peers' bytes arrive
+  const std::string& name(size_t i) const { return members_[i].name; }        // as its peers know it
   std::string folder(size_t i) const;
   std::string operator_file(size_t i) const;
 
--- a/src/standin/fleet.cpp
+++ b/src/standin/fleet.cpp
@@ -2,6 +2,7 @@
 
 #include <Poco/Net/ServerSocket.h>
 #include <fmt/format.h>
+#include <unistd.h>
 
 #include <algorithm>
 
@@ -57,4 +58,18 @@
   return socket.address().toString();
 }
 
+std::vector<std::string> free_addresses(size_t count) {
+  // Two that listen at one address share it, and each would get a part of the other's connections: so each
+  // process that takes several has a host of its own.
+  const auto pid = static_cast<unsigned>(::getpid());
+  const std::string host = fmt::format("127.{}.{}.{}", 1 + pid / 62500 % 250, pid / 250 % 250, 1 + pid % 250);
+  std::vector<Poco::Net::ServerSocket> held(count);
+  std::vector<std::string> out;
+  for (Poco::Net::ServerSocket& socket : held) {
+    socket.bind(Poco::Net::SocketAddress(host, 0), false);
+    out.push_back(socket.address().toString());
+  }
+  return out;
+}
+
 }  // namespace firvalve::standin
--- a/src/standin/fleet.h
+++ b/src/standin/fleet.h
@@ -34,5 +34,7 @@
 
 // An address of the loopback range that is free now.
 std::string free_address();
+// Several at once, none twice, on an address of the loopback range that only this process uses.
+std::vector<std::string> free_addresses(size_t count);
 
 }  // namespace firvalve::standin
--- a/src/standin/main.cpp
+++ b/src/standin/main.cpp
@@ -15,9 +15,11 @@
   int engines = 4;
   std::vector<std::string> configs, listens;
   app.add_option("--engines", engines, "how many")->check(CLI::Range(1, 1000))->capture_default_str();
-  app.add_option("--config", configs, "write a gateway's configuration to this file; several: of several gateways")
+  app.add_option("--config", configs,
+                 "write a gateway's configuration to this file; several: of several gateways")
       ->required();
-  app.add_option("--listen", listens, "the address that the configuration tells the gateway to listen on; each in turn");
+  app.add_option("--listen", listens,
+                 "the address that the configuration tells the gateway to listen on; each in turn");
   CLI11_PARSE(app, argc, argv);
   sigset_t ends;
   sigemptyset(&ends);
