Changes of bulletins: their race in processes and worlds, lapses, the client library

A proposal crosses a declaration; keepers die between check and agreement; a subscriber that is gone for good must not hold a bulletin up.

Change: the judge holds every agreed bulletin against every declaration of its moment; the world in virtual time proposes and declares; process tests with loss, a cut-off and a killed keeper; declarations lapse after holds_ms without a sign (schema/lapses.h); Client::ask, propose, declare. Found by the judge: a subscriber that named a version without what it reads counted as served there; a version now counts only where it has all that is read (check.cpp, spoken()).

--- a/src/client/client.cpp
+++ b/src/client/client.cpp
@@ -149,6 +149,8 @@
   int only = -1;
   std::string token;
   uint64_t page = 0;
+  // Of a question about a bulletin: what is asked, and all params as JSON; empty: a command.
+  std::string method, params;
   CallNo no = 0;
   Ms asked_at = 0;
   std::weak_ptr<Driver> driver;
@@ -385,7 +387,9 @@
     if (a.kind == PlanAction::Kind::kSend) {
       const Shared& call = *calls_.at(a.call);
       const Command& c = call.command;
-      if (call.only >= 0) {
+      if (!call.method.empty()) {
+        proto::append_method(link.out, a.id, call.method, call.params);
+      } else if (call.only >= 0) {
         proto::append_page_call(link.out, {a.id, call.token, c.key, call.page});
       } else {
         proto::append_command(link.out, {a.id, c.profile, c.statement, a.req, a.first, a.timeout,
@@ -715,6 +719,23 @@
   return handle;
 }
 
+Handle Client::ask(const std::string& method, const std::string& bulletin, const std::string& params,
+                   double timeout_ms, Callback done) {
+  const auto named = proto::with_bulletin(bulletin, params, timeout_ms);
+  if (!named) throw std::invalid_argument("params are no JSON object");
+  if (!proto::is_bulletin_method(method)) throw std::invalid_argument("no such method about bulletins");
+  Handle handle;
+  handle.shared_ = std::make_shared<Shared>();
+  Shared& s = *handle.shared_;
+  s.command = {method, method, timeout_ms, 0, 0, Effect::kReplayable, false, {}, {}};
+  check(s.command);
+  s.method = method;
+  s.params = *named;
+  s.callback = std::move(done);
+  driver_->take(handle.shared_);
+  return handle;
+}
+
 Result Client::call(Command command) { return send(std::move(command)).wait(); }
 
 size_t Client::close(double wait_ms) { return driver_->close(wait_ms); }
--- a/src/client/client.h
+++ b/src/client/client.h
@@ -163,6 +163,25 @@
   Handle page(const std::string& gateway, const std::string& token, uint64_t page, double timeout_ms,
               const std::string& key = {}, Callback done = {});
 
+  // Asks about a bulletin's versions and declarations, any gateway of the fleet: the answer is the same.
+  // `method`: "propose", "deprecate", "retire", "declare", "withdraw" or "bulletin"; `params`: a JSON object
+  // of what it wants (docs/bulletins.md), without the bulletin's name. Asked again it does nothing twice, so
+  // it is repeated as replayable commands are. Answered: `rows` is the result, as JSON. Failed with a change
+  // refused: `rows` is the list of breaches, as JSON. Throws std::invalid_argument for another method or
+  // params that are no object.
+  Handle ask(const std::string& method, const std::string& bulletin, const std::string& params,
+             double timeout_ms, Callback done = {});
+  // A version with this schema.
+  Handle propose(const std::string& bulletin, const std::string& schema, double timeout_ms,
+                 Callback done = {}) {
+    return ask("propose", bulletin, "{\"schema\":" + schema + "}", timeout_ms, std::move(done));
+  }
+  // What one subscriber relies on, in place of what it had declared before.
+  Handle declare(const std::string& bulletin, const std::string& declaration, double timeout_ms,
+                 Callback done = {}) {
+    return ask("declare", bulletin, declaration, timeout_ms, std::move(done));
+  }
+
   // No call is taken any more; waits up to so long for those open, then cancels the rest and waits for their
   // end. Called from within a callback it does not wait. Gives how many were cancelled.
   size_t close(double wait_ms);
--- a/src/fleet/node.cpp
+++ b/src/fleet/node.cpp
@@ -6,6 +6,8 @@
 
 namespace {
 
+constexpr Ms kLapseMost = 5000;  // for a withdrawal to be agreed; it is asked for again otherwise
+
 uint64_t mixed(uint64_t z) {
   z = (z ^ (z >> 33)) * 0xff51afd7ed558ccdull;
   z = (z ^ (z >> 33)) * 0xc4ceb9fe1a85ec53ull;
@@ -37,7 +39,8 @@
       follower_(terms.keepers, static_cast<record::Peer>(mixed(terms.draw) % terms.keepers)),
       duties_(now, duty_terms(terms)),
       merges_(duties_, mixed(terms.draw + 4)),
-      registry_(mixed(terms.draw + 6)) {
+      registry_(mixed(terms.draw + 6)),
+      lapses_(static_cast<double>(mixed(terms.draw + 7) >> 11) / static_cast<double>(uint64_t{1} << 53)) {
   if (terms.self < terms.keepers) keeper_.emplace(keeper_terms(terms), mixed(terms.draw + 5));
 }
 
@@ -76,7 +79,7 @@
       else
         ends_.push_back(end);
     }
-    for (const auto& [key, fact] : follower_.take_seen()) duties_.saw(now, key, fact);
+    for (const auto& [key, fact] : follower_.take_seen()) see(now, key, fact);
     if (follower_.whole()) duties_.looked(now);
     for (record::Wish& wish : duties_.take_wishes()) {
       more = true;
@@ -94,7 +97,17 @@
   }
 }
 
+void Node::see(Ms now, const std::string& key, const record::Fact& fact) {
+  duties_.saw(now, key, fact);
+  // Keepers look after declarations; that others need not read every bulletin whole is all that it is for.
+  if (!keeper_ || !key.starts_with(schema::Registry::kPrefix)) return;
+  std::string why;
+  if (const auto b = schema::read_bulletin(fact.value, why))
+    lapses_.saw(now, key.substr(std::string_view(schema::Registry::kPrefix).size()), *b);
+}
+
 void Node::due(Ms now) {
+  for (schema::Change& lapse : lapses_.due(now)) registry_.ask(now, std::move(lapse), now + kLapseMost);
   if (keeper_) keeper_->due(now);
   asker_.due(now);
   follower_.due(now);
@@ -113,6 +126,7 @@
   sooner(follower_.next_due());
   sooner(duties_.next_due());
   sooner(merges_.next_due());
+  sooner(lapses_.next_due());
   return next;
 }
 
--- a/src/fleet/node.h
+++ b/src/fleet/node.h
@@ -13,6 +13,7 @@
 #include "record/asker.h"
 #include "record/follower.h"
 #include "record/keeper.h"
+#include "schema/lapses.h"
 #include "schema/registry.h"
 
 namespace firvalve::fleet {
@@ -59,6 +60,7 @@
 
  private:
   void go_on(Ms now);
+  void see(Ms now, const std::string& key, const record::Fact& fact);
 
   NodeTerms terms_;
   std::optional<record::Keeper> keeper_;
@@ -67,6 +69,7 @@
   duty::Duties duties_;
   duty::Merges merges_;
   schema::Registry registry_;
+  schema::Lapses lapses_;
   std::vector<duty::Event> events_;
   std::vector<record::End> ends_;
 };
--- a/src/lab/fleet_world.cpp
+++ b/src/lab/fleet_world.cpp
@@ -22,6 +22,7 @@
 
 constexpr Ms kActEvery = 40;                   // a holder acts so often
 constexpr Ms kReadEvery = 70;                  // a reader asks the record so often
+constexpr Ms kProposeEvery = 300;              // a publisher asks so often
 constexpr Ms kRunLeast = 50, kRunMost = 1500;  // of a merge's run
 constexpr Ms kLearns = 8000;          // a keeper that forgot has learned all again, where it is not cut off
 constexpr Ms kMergePatience = 20000;  // of who asked for one
@@ -42,6 +43,8 @@
     for (uint32_t n = 0; n < o_.gateways; ++n) put(uniform() * kActEvery, {What::kAct, n});
     for (uint32_t n = 0; n < o_.readers && n < o_.gateways; ++n)
       put(500 + uniform() * kReadEvery, {What::kRead, o_.gateways - 1 - n});
+    for (uint32_t n = 0; n < o_.publishers && n < o_.gateways; ++n)
+      put(500 + uniform() * kProposeEvery, {What::kBulletin, n});
     for (uint32_t m = 0; m < o_.merges; ++m)
       for (int who = 0; who < 3; ++who)
         put(1000 + uniform() * std::max(0.0, o_.span - 5000), {What::kMerge, draw(o_.gateways), m});
@@ -56,7 +59,7 @@
   }
 
  private:
-  enum class What : uint8_t { kDeliver, kWake, kAct, kRead, kMerge, kRunEnd, kFault, kFaultEnd };
+  enum class What : uint8_t { kDeliver, kWake, kAct, kRead, kBulletin, kMerge, kRunEnd, kFault, kFaultEnd };
   struct Event {
     What what = What::kWake;
     uint32_t node = 0, other = 0;
@@ -215,6 +218,31 @@
     }
   }
 
+  // Five fields that come and go, five screens that read some of them.
+  schema::Change drawn_change() {
+    schema::Change c;
+    c.bulletin = "cabins";
+    const double kind = uniform();
+    if (kind < 0.4) {
+      c.kind = schema::Change::Kind::kPropose;
+      for (uint32_t n = 1; n <= 5; ++n)
+        if (uniform() < 0.7) {
+          schema::Field f;
+          f.number = n;
+          f.name = fmt::format("f{}", n);
+          c.schema.fields.push_back(f);
+        }
+      return c;
+    }
+    c.declaration.subscriber = fmt::format("screen {}", draw(5));
+    c.kind = kind < 0.8 ? schema::Change::Kind::kDeclare : schema::Change::Kind::kWithdraw;
+    for (uint32_t v = 1; v <= 20; ++v) c.declaration.versions.insert(v);
+    for (uint32_t n = 1; n <= 5; ++n)
+      if (uniform() < 0.3) c.declaration.reads.insert(n);
+    if (kind < 0.5) c.declaration.holds_ms = 2000;
+    return c;
+  }
+
   void close_span(Gateway& g, const std::string& duty, Ms until) {
     const auto at = g.open.find(duty);
     if (at == g.open.end()) return;
@@ -249,6 +277,12 @@
         answered_.insert(a.name);
       }
     }
+    for (const schema::Registry::End& end : g.node->take_changes()) {
+      using Kind = schema::Registry::End::Kind;
+      if (end.kind == Kind::kAgreed && end.applied.changed)
+        out_.history.bulletins.push_back(read_agreed(end.bulletin, now_, schema::written(end.applied.after)));
+      out_.refused_changes += end.kind == Kind::kRefused;
+    }
     for (const record::End& end : g.node->take_ends()) {
       using Kind = record::End::Kind;
       if (end.kind == Kind::kUnknown || end.kind == Kind::kNoMajority) continue;
@@ -327,6 +361,11 @@
         g.node->asker().ask(at, std::move(w));
         return turn(e.node);
       }
+      case What::kBulletin:
+        put(now_ + kProposeEvery * (0.5 + uniform()), e);
+        if (!up) return;
+        g.node->registry().ask(at, drawn_change(), at + 2000);
+        return turn(e.node);
       case What::kMerge:
         if (!up) return;
         g.node->merges().ask(at, fmt::format("m{}", e.other), ++calls_, 7, at + kMergePatience);
--- a/src/lab/judge.cpp
+++ b/src/lab/judge.cpp
@@ -102,10 +102,38 @@
     if (all.size() > 1)
       out.push_back(
           {"once", fmt::format("{} was begun {} times, the second at {:.3f}", name, all.size(), all[1].at)});
+  for (const AgreedBulletin& b : history.bulletins)
+    for (const auto& [subscriber, reads] : b.declarations)
+      for (const auto& [version, fields] : b.published)
+        for (const std::string& field : reads)
+          if (!fields.count(field))
+            out.push_back({"compatible", fmt::format("{} at {:.3f}: version {} has no {}, which {} reads",
+                                                     b.name, b.at, version, field, subscriber)});
   judge_ops(history, out);
   return out;
 }
 
+AgreedBulletin read_agreed(const std::string& name, Ms at, const std::string& json) {
+  AgreedBulletin out{name, at, {}, {}};
+  rapidjson::Document d;
+  d.Parse(json.c_str());
+  if (d.HasParseError() || !d.IsObject() || !d.HasMember("versions")) return out;
+  std::map<uint64_t, std::string> names;
+  for (const auto& version : d["versions"].GetArray()) {
+    std::set<std::string> fields;
+    for (const auto& field : version["schema"]["fields"].GetArray()) {
+      names[field["number"].GetUint64()] = field["name"].GetString();
+      fields.insert(field["name"].GetString());
+    }
+    if (std::string(version["state"].GetString()) == "live")
+      out.published[version["number"].GetUint64()] = fields;
+  }
+  for (const auto& declaration : d["declarations"].GetArray())
+    for (const auto& number : declaration["reads"].GetArray())
+      out.declarations[declaration["subscriber"].GetString()].insert(names[number.GetUint64()]);
+  return out;
+}
+
 void read_spans(const std::string& holder, const std::string& log, FleetHistory& into) {
   std::map<std::string, HeldSpan> open;
   std::istringstream lines(log);
--- a/src/lab/judge.h
+++ b/src/lab/judge.h
@@ -7,11 +7,14 @@
 //  epochs_grow   each new holder of a duty has a greater epoch than all before
 //  acts_in_order whoever receives acts takes none of an older epoch than one it has taken
 //  once          a named load is begun at most once
-//  linearizable  changes and readings of the record can be put in one order, a key, that agrees with time
+//  compatible    every version of a bulletin that is published has each field that a declaration of that
+//  moment reads linearizable  changes and readings of the record can be put in one order, a key, that agrees
+//  with time
 #pragma once
 
 #include <limits>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -46,10 +49,18 @@
   uint64_t on = 0;       // kChange: the change that it was to build on
 };
 
+struct AgreedBulletin {  // as it stood at some moment
+  std::string name;
+  Ms at = 0;
+  std::map<uint64_t, std::set<std::string>> published;        // fields of each version that may be published
+  std::map<std::string, std::set<std::string>> declarations;  // fields that each subscriber reads
+};
+
 struct FleetHistory {
   std::vector<HeldSpan> held;
   std::vector<TakenAct> acts;
   std::vector<Begun> begun;
+  std::vector<AgreedBulletin> bulletins;
   std::vector<RecordOp> ops;  // those that ended and told what stands
 };
 
@@ -64,4 +75,7 @@
 // over.
 void read_spans(const std::string& holder, const std::string& log, FleetHistory& into);
 
+// Reads a bulletin as gateways tell it: JSON with `versions` and `declarations`.
+AgreedBulletin read_agreed(const std::string& name, Ms at, const std::string& json);
+
 }  // namespace firvalve::lab
--- a/src/proto/jsonrpc/reply.cpp
+++ b/src/proto/jsonrpc/reply.cpp
@@ -25,6 +25,13 @@
   return {buffer.GetString(), buffer.GetSize()};
 }
 
+std::string text_of(const Value& value) {
+  rapidjson::StringBuffer buffer;
+  rapidjson::Writer<rapidjson::StringBuffer> writer(buffer);
+  value.Accept(writer);
+  return {buffer.GetString(), buffer.GetSize()};
+}
+
 void append_framed(std::string& out, std::string_view body) {
   fmt::format_to(std::back_inserter(out), "Content-Length: {}\r\n\r\n", body.size());
   out += body;
@@ -36,10 +43,13 @@
   if (code && code->IsInt()) reply.code = code->GetInt();
   if (const Value* text = member(error, "message"); text && text->IsString())
     reply.message.assign(text->GetString(), std::min<size_t>(text->GetStringLength(), kMessageMost));
+  const Value* data = member(error, "data");
+  const bool has_data = data && data->IsObject();
+  if (reply.code == kRpcRefusedChange && has_data)
+    if (const Value* breaches = member(*data, "breaches")) reply.rows = text_of(*breaches);
   if (reply.code != kRpcShed) return;
   reply.kind = RpcReply::Kind::kShed;
-  const Value* data = member(error, "data");
-  if (!data || !data->IsObject()) return;
+  if (!has_data) return;
   // Advice that is no time is none: it must neither hold a client off for good nor let it hammer.
   const Value* holdoff = member(*data, "holdoff");
   if (holdoff && holdoff->IsNumber() && std::isfinite(holdoff->GetDouble()))
@@ -73,6 +83,23 @@
   append_framed(out, body);
 }
 
+void append_method(std::string& out, int64_t id, std::string_view method, std::string_view params) {
+  append_framed(
+      out, fmt::format(R"({{"jsonrpc":"2.0","id":{},"method":{},"params":{}}})", id, quoted(method), params));
+}
+
+std::optional<std::string> with_bulletin(std::string_view bulletin, const std::string& params, Ms timeout) {
+  rapidjson::Document d;
+  d.Parse<rapidjson::kParseIterativeFlag>(params.data(), params.size());
+  if (d.HasParseError() || !d.IsObject()) return {};
+  d.RemoveMember("bulletin");
+  d.RemoveMember("timeout");
+  Value name(bulletin.data(), static_cast<rapidjson::SizeType>(bulletin.size()), d.GetAllocator());
+  d.AddMember("bulletin", name, d.GetAllocator());
+  d.AddMember("timeout", std::max(1.0, std::floor(timeout)), d.GetAllocator());
+  return text_of(d);
+}
+
 void append_revoke(std::string& out, int64_t id, std::string_view req) {
   append_framed(
       out, fmt::format(R"({{"jsonrpc":"2.0","method":"revoke","params":{{"id":{},"req":"{}"}}}})", id, req));
@@ -107,6 +134,11 @@
     reply.kind = RpcReply::Kind::kRows;
     return reply;
   }
+  if (member(*result, "version") || member(*result, "versions") || member(*result, "agreed")) {
+    reply.kind = RpcReply::Kind::kRows;
+    reply.rows = text_of(*result);
+    return reply;
+  }
   if (const Value* token = member(*result, "token"); token && token->IsString())
     reply.token.assign(token->GetString(), token->GetStringLength());
   if (const Value* pages = member(*result, "pages"); pages && pages->IsUint64())
--- a/src/proto/jsonrpc/reply.h
+++ b/src/proto/jsonrpc/reply.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
@@ -32,6 +33,10 @@
   uint64_t page = 0;  // from 1; 0: the result is released
 };
 void append_page_call(std::string& out, const RpcPage& page);
+// Any method with params as they are: a JSON object.
+void append_method(std::string& out, int64_t id, std::string_view method, std::string_view params);
+// A JSON object with the bulletin's name and the time-out put in; none: it is no object.
+std::optional<std::string> with_bulletin(std::string_view bulletin, const std::string& params, Ms timeout);
 void append_revoke(std::string& out, int64_t id, std::string_view req);
 void append_heartbeat(std::string& out, int64_t id);
 
@@ -41,8 +46,8 @@
   Kind kind = Kind::kUnread;
   bool has_id = false;
   int64_t id = 0;
-  std::string rows;                     // kRows, decoded
-  std::string token;                    // kRows of a paged command
+  std::string rows;   // kRows, decoded; of a bulletin, or a change of one refused (kFailed), JSON as it came
+  std::string token;  // kRows of a paged command
   uint64_t pages = 0, all_rows = 0;     // the same; pages with any page
   Ms holdoff = 0;                       // kShed; 0: none, or none that is a time
   int code = 0;                         // kShed, kFailed
--- a/src/schema/check.cpp
+++ b/src/schema/check.cpp
@@ -223,12 +223,17 @@
   }
 }
 
-// The newest version that a declaration speaks and that is there; null: none.
+// The versions that a declaration can be served in, the newest first: it speaks them, they are there, and
+// they have all that it reads.
 std::vector<const Version*> spoken(const Bulletin& bulletin, const Declaration& d) {
   std::vector<const Version*> out;
-  for (auto v = d.versions.rbegin(); v != d.versions.rend(); ++v)
-    if (const Version* const version = bulletin.find(*v); version && version->state != State::kGone)
+  for (auto v = d.versions.rbegin(); v != d.versions.rend(); ++v) {
+    const Version* const version = bulletin.find(*v);
+    if (!version || version->state == State::kGone) continue;
+    if (std::all_of(d.reads.begin(), d.reads.end(),
+                    [&](const uint32_t f) { return version->schema.find(f) != nullptr; }))
       out.push_back(version);
+  }
   return out;
 }
 
@@ -270,9 +275,11 @@
   if (from.order != to.order && to.order == "number")
     breach(Rule::kOrderChanged, 0, "one order for all is given up for one of each key",
            {"begin another bulletin with the new order"});
-  for (const Field& r : to.fields) {
-    if (!reader.reads.count(r.number)) continue;
-    const Field* const w = from.find(r.number);
+  for (const uint32_t number : reader.reads) {
+    const Field* const read = to.find(number);
+    if (!read) continue;
+    const Field& r = *read;
+    const Field* const w = from.find(number);
     if (!w || w->name != r.name) {
       breach(Rule::kTakenAway, r.number, fmt::format("{} is not there any more", shown(r)),
              {fmt::format("keep {} until the subscribers named have declared versions without it", r.name)});
@@ -388,14 +395,20 @@
 Verdict check_declaration(const Bulletin& bulletin, const Declaration& d) {
   std::vector<Breach> all;
   const auto versions = spoken(bulletin, d);
-  if (versions.empty())
+  const auto named = [&](auto&& has) {
+    return std::any_of(bulletin.versions.begin(), bulletin.versions.end(), [&](const Version& v) {
+      return v.state != State::kGone && d.versions.count(v.number) && has(v);
+    });
+  };
+  if (!named([](const Version&) { return true; })) {
     all.push_back({Rule::kNoSuchVersion, 0, "none of the versions named is there", {}, {}});
-  for (const uint32_t f : d.reads) {
-    const bool there = std::any_of(versions.begin(), versions.end(),
-                                   [&](const Version* const v) { return v->schema.find(f) != nullptr; });
-    if (!there && !versions.empty())
-      all.push_back({Rule::kNoSuchField, f, fmt::format("no version named has a field {}", f), {}, {}});
+    return {std::move(all)};
   }
+  for (const uint32_t f : d.reads)
+    if (!named([f](const Version& v) { return v.schema.find(f) != nullptr; }))
+      all.push_back({Rule::kNoSuchField, f, fmt::format("no version named has a field {}", f), {}, {}});
+  if (all.empty() && versions.empty())
+    all.push_back({Rule::kNoSuchField, 0, "no one version named has all that is read", {}, {}});
   // It has to be able to read what is published now: by one of its versions, each live one.
   for (const Version& live : bulletin.versions) {
     if (live.state != State::kLive || versions.empty()) continue;
--- a/src/schema/registry.cpp
+++ b/src/schema/registry.cpp
@@ -60,15 +60,21 @@
       const auto at = std::lower_bound(
           all.begin(), all.end(), c.declaration,
           [](const Declaration& a, const Declaration& b) { return a.subscriber < b.subscriber; });
-      if (at != all.end() && at->subscriber == c.declaration.subscriber)
-        *at = c.declaration;
+      const bool there = at != all.end() && at->subscriber == c.declaration.subscriber;
+      Declaration made = c.declaration;
+      made.renewed = there ? at->renewed + 1 : 1;
+      if (there)
+        *at = std::move(made);
       else
-        all.insert(at, c.declaration);
+        all.insert(at, std::move(made));
       break;
     }
     case Kind::kWithdraw:
-      std::erase_if(out.after.declarations,
-                    [&](const Declaration& d) { return d.subscriber == c.declaration.subscriber; });
+    case Kind::kLapse:
+      std::erase_if(out.after.declarations, [&](const Declaration& d) {
+        return d.subscriber == c.declaration.subscriber &&
+               (c.kind == Kind::kWithdraw || d.renewed == c.declaration.renewed);
+      });
       break;
   }
   out.changed = !(out.after == before);
--- a/src/schema/registry.h
+++ b/src/schema/registry.h
@@ -22,6 +22,7 @@
     kRetire,     // version: it is gone
     kDeclare,    // declaration
     kWithdraw,   // declaration.subscriber: it reads no longer
+    kLapse,      // the same, where its count of signs is still declaration.renewed
     kRead,       // nothing: what stands is told
   };
   Kind kind = Kind::kRead;
--- a/tests/fleet/processes_test.cpp
+++ b/tests/fleet/processes_test.cpp
@@ -396,6 +396,130 @@
   EXPECT_TRUE(soon([&] { return c.ready(); }));
 }
 
+class Bulletins : public Processes {
+ protected:
+  static std::string schema(const std::vector<int>& fields) {
+    std::string all;
+    for (const int f : fields)
+      all += (all.empty() ? "" : ",") +
+             ("{\"number\":" + std::to_string(f) + ",\"name\":\"f" + std::to_string(f)) + "\"}";
+    return "{\"fields\":[" + all + "]}";
+  }
+  static std::string reader(const std::string& who, const std::string& reads) {
+    return R"({"subscriber":")" + who + R"(","site":"here","versions":[1,2,3,4,5,6,7,8,9],"reads":[)" +
+           reads + "]}";
+  }
+  client::Client& at(size_t gateway) {
+    auto& c = clients_[gateway];
+    if (!c) {
+      client::Options o;
+      o.gateways = {crowd_->clients(gateway)};
+      c = std::make_unique<client::Client>(o);
+    }
+    return *c;
+  }
+  // What stands, as any gateway tells it, before the judge.
+  std::string stands(size_t gateway) {
+    const client::Result r = at(gateway).ask("bulletin", "cabins", "{}", 8000).wait();
+    EXPECT_EQ(r.outcome, client::Outcome::kAnswered) << r.why;
+    lab::FleetHistory h;
+    h.bulletins.push_back(lab::read_agreed("cabins", 0, r.rows));
+    for (const lab::FleetBreach& b : lab::judge(h)) ADD_FAILURE() << b.rule << ": " << b.text;
+    return r.rows;
+  }
+  std::map<size_t, std::unique_ptr<client::Client>> clients_;
+};
+
+TEST_F(Bulletins, AChangeThatBreaksASubscriberIsRefusedAtEveryGateway) {
+  Crowd& c = begin();
+  EXPECT_EQ(at(0).propose("cabins", schema({1, 2}), 5000).wait().outcome, client::Outcome::kAnswered);
+  EXPECT_EQ(at(3).declare("cabins", reader("screen", "2"), 5000).wait().outcome, client::Outcome::kAnswered);
+  std::string first;
+  for (size_t g = 0; g < c.size(); ++g) {
+    const client::Result r = at(g).propose("cabins", schema({1}), 5000).wait();
+    EXPECT_EQ(r.outcome, client::Outcome::kFailed);
+    EXPECT_NE(r.rows.find("taken_away"), std::string::npos) << r.rows;
+    if (first.empty()) first = r.rows;
+    EXPECT_EQ(r.rows, first);
+  }
+  EXPECT_THROW(at(0).ask("propose", "cabins", "[1]", 5000), std::invalid_argument);
+  const client::Result bad =
+      at(0).ask("propose", "cabins", R"({"schema":{"fields":[{"number":"x"}]}})", 5000).wait();
+  EXPECT_EQ(bad.outcome, client::Outcome::kFailed);
+  EXPECT_EQ(bad.why, "schema.fields[0].number is no number from 0 up");
+  EXPECT_GE(c.count("schema.refused"), c.size());
+}
+
+TEST_F(Bulletins, ProposalsAndDeclarationsThatCrossACutAndLossAndAKilledKeeper) {
+  CrowdTerms t;
+  t.keepers = 5;
+  Crowd& c = begin(t);
+  EXPECT_EQ(at(0).propose("cabins", schema({1, 2, 3, 4}), 5000).wait().outcome, client::Outcome::kAnswered);
+  c.between().set_all({.lost = 0.1, .repeated = 0.1, .delay_least = 0, .delay_most = 20, .reordered = true});
+  std::vector<std::future<std::pair<int, int>>> all;  // agreed, refused
+  for (size_t g = 0; g < 4; ++g) {
+    at(g);
+    all.push_back(std::async(std::launch::async, [=, this] {
+      std::pair<int, int> told;
+      for (int i = 0; i < 12; ++i) {
+        const int left_out = 1 + static_cast<int>((g + static_cast<size_t>(i)) % 4);
+        std::vector<int> fields;
+        for (int f = 1; f <= 4; ++f)
+          if (f != left_out) fields.push_back(f);
+        client::Client& client = *clients_.at(g);
+        const client::Result r =
+            g % 2 == 0 ? client.propose("cabins", schema(fields), 4000).wait()
+                       : client
+                             .declare("cabins",
+                                      reader("screen " + std::to_string(g), std::to_string(left_out)), 4000)
+                             .wait();
+        told.first += r.outcome == client::Outcome::kAnswered;
+        told.second += r.outcome == client::Outcome::kFailed && !r.rows.empty();
+      }
+      return told;
+    }));
+  }
+  c.kill(4);  // in the middle of it
+  c.between().set_apart(1, {.silent = true});
+  ::usleep(700000);
+  c.between().set_apart(1, {});
+  c.start(4);
+  int agreed = 0, refused = 0;
+  for (auto& one : all) {
+    const auto told = one.get();
+    agreed += told.first;
+    refused += told.second;
+  }
+  EXPECT_GT(agreed, 0);
+  EXPECT_GT(refused, 0);
+  c.between().set_all({});
+  const std::string one = stands(0);
+  for (size_t g = 1; g < 4; ++g) EXPECT_EQ(stands(g), one);
+}
+
+TEST_F(Bulletins, ASubscriberThatGivesNoSignIsForgottenAfterItsTime) {
+  begin();
+  EXPECT_EQ(at(0).propose("cabins", schema({1, 2}), 5000).wait().outcome, client::Outcome::kAnswered);
+  std::string declaration = reader("screen", "2");
+  declaration.insert(1, R"("holds_ms":1500,)");
+  EXPECT_EQ(at(1).declare("cabins", declaration, 5000).wait().outcome, client::Outcome::kAnswered);
+  EXPECT_EQ(at(2).propose("cabins", schema({1}), 5000).wait().outcome, client::Outcome::kFailed);
+  EXPECT_TRUE(soon([&] {
+    return at(2).propose("cabins", schema({1}), 5000).wait().outcome == client::Outcome::kAnswered;
+  }));
+}
+
+TEST_F(Bulletins, WithoutAMajorityNothingIsChangedAndThatIsTold) {
+  Crowd& c = begin();
+  c.kill(0);
+  c.kill(1);
+  const client::Result r = at(3).propose("cabins", schema({1}), 1500).wait();
+  EXPECT_NE(r.outcome, client::Outcome::kAnswered);
+  c.start(0);
+  EXPECT_EQ(at(4).propose("cabins", schema({1, 2}), 8000).wait().outcome, client::Outcome::kAnswered);
+  EXPECT_EQ(stands(3).find("\"number\":2,\"state\""), std::string::npos);  // the first was never made
+}
+
 TEST_F(Processes, AGatewayOutsideAnyFleetRefusesNamedLoads) {
   const std::string listen = standin::free_address();
   standin::Fleet engines(1);
--- a/tests/schema/check_test.cpp
+++ b/tests/schema/check_test.cpp
@@ -196,6 +196,12 @@
   b.versions.push_back({2, State::kLive, two});
   EXPECT_EQ(check_declaration(b, reader({4}, {1})).breaches.at(0).rule, Rule::kUnitChanged);
   EXPECT_TRUE(check_declaration(b, reader({1}, {1})).good());
+  // A version that has not all that it reads is none that it can be served in.
+  Schema three = cabins();
+  three.fields.erase(three.fields.begin() + 1);
+  b.versions[1].schema = three;
+  EXPECT_EQ(check_declaration(b, reader({1, 2}, {1, 2})).breaches.at(0).rule, Rule::kTakenAway);
+  EXPECT_EQ(check_declaration(b, reader({1, 2}, {2})).breaches.at(0).rule, Rule::kNoSuchField);
 }
 
 TEST(Check, ProjectionsGiveEachItsVersion) {
--- a/tests/schema/registry_test.cpp
+++ b/tests/schema/registry_test.cpp
@@ -5,6 +5,7 @@
 #include "index/planted.h"
 #include "lab/explore.h"
 #include "record/digest.h"
+#include "schema/lapses.h"
 
 namespace firvalve::schema {
 namespace {
@@ -116,6 +117,51 @@
   EXPECT_EQ(fact.fact.change, 77u);
 }
 
+TEST(LapsesTest, ADeclarationWithoutASignForAsLongAsItSaidIsWithdrawn) {
+  Registry r(1);
+  Fact fact;
+  r.ask(1, propose(with({"cabin"})), 1000);
+  settle(r, fact);
+  Change c = declare("screen", {1}, {1});
+  c.declaration.holds_ms = 1000;
+  const auto sign = [&] {
+    r.ask(1, c, 1000);
+    return settle(r, fact).applied.after;
+  };
+  Lapses lapses(0);
+  lapses.saw(100, "cabins", sign());
+  EXPECT_TRUE(lapses.due(1000).empty());
+  lapses.saw(1000, "cabins", sign());  // it has given a sign: its time begins anew
+  EXPECT_TRUE(lapses.due(1900).empty());
+  const auto due = lapses.due(2100);
+  ASSERT_EQ(due.size(), 1u);
+  EXPECT_TRUE(lapses.due(2100).empty());  // told once
+  // A sign that comes before the withdrawal is agreed keeps it.
+  Registry keeper(2);
+  keeper.ask(1, due[0], 1000);
+  for (const record::Wish& w : keeper.take_wishes()) keeper.ended(1, fact.answer(w));
+  sign();
+  settle(keeper, fact);
+  std::string why;
+  EXPECT_EQ(read_bulletin(fact.fact.value, why)->declarations.size(), 1u);
+  // Without one it goes, and what it held up may change.
+  lapses.saw(3000, "cabins", *read_bulletin(fact.fact.value, why));
+  keeper.ask(1, lapses.due(4100).at(0), 1000);
+  settle(keeper, fact);
+  EXPECT_TRUE(read_bulletin(fact.fact.value, why)->declarations.empty());
+  EXPECT_EQ(lapses.due(9000).size(), 1u);  // as far as it knows
+  lapses.saw(9000, "cabins", *read_bulletin(fact.fact.value, why));
+  EXPECT_EQ(lapses.next_due(), 0);
+}
+
+TEST(LapsesTest, OneThatSaysNoTimeHoldsForEver) {
+  Lapses lapses(0);
+  Bulletin b;
+  b.declarations = {{"screen", "", {1}, {1}, {}, false, 0, 1}};
+  lapses.saw(1, "cabins", b);
+  EXPECT_EQ(lapses.next_due(), 0);
+}
+
 // A proposal that takes a field away, a declaration that reads it, another proposal: in every order of their
 // readings and changes.
 class Crossing {
