--- a/src/duty/merges.cpp
+++ b/src/duty/merges.cpp
@@ -8,6 +8,11 @@
 
 namespace firvalve::duty {
 
+namespace {
+// Another gateway may have begun it meanwhile: no proof that it never ran.
+constexpr const char* kEnds = "this gateway ends; it may have run";
+}  // namespace
+
 std::string written(const Merge& merge) {
   flatbuffers::FlatBufferBuilder b(64 + merge.rows.size());
   const auto rows = b.CreateString(merge.rows);
@@ -36,12 +41,25 @@
 }
 
 void Merges::ask(Ms now, const std::string& name, Call call, uint64_t statement, Ms until) {
+  if (leaving_) {
+    actions_.push_back({Action::Kind::kFail, name, call, kEnds, 0});
+    return;
+  }
   const auto at = names_.try_emplace(name).first;
   at->second.calls.push_back({call, statement, until});
   duties_.want(now, duty_of(name));
   go_on(now, at);
 }
 
+void Merges::leave() {
+  leaving_ = true;
+  for (auto& [name, n] : names_) {
+    if (n.step != Step::kSeeks) continue;
+    for (const Waiting& w : n.calls) actions_.push_back({Action::Kind::kFail, name, w.call, kEnds, 0});
+    n.calls.clear();
+  }
+}
+
 void Merges::gone(Ms now, Call call) {
   for (auto at = names_.begin(); at != names_.end(); ++at) {
     const size_t before = at->second.calls.size();
--- a/src/duty/merges.h
+++ b/src/duty/merges.h
@@ -68,6 +68,8 @@
   void gone(Ms now, Call call);  // its client waits no longer; what has begun goes on
   void hear(Ms now, const Event& event);
   void run_ended(Ms now, const std::string& name, End end, std::string rows, Ms advice = 0);
+  // This gateway ends: what it has not begun it does not begin, and who waits here for it is told at once.
+  void leave();
   void due(Ms now);
   Ms next_due() const;  // 0: nothing
   bool idle() const { return names_.empty(); }
@@ -100,6 +102,7 @@
   Duties& duties_;
   uint64_t life_ = 0, runs_ = 0;
   Names names_;
+  bool leaving_ = false;
   std::set<uint64_t> never_begun_;  // runs of this process whose note may stand and that were never begun
   std::vector<Action> actions_;
 };
--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -188,6 +188,7 @@
   t.name = terms.name;
   t.draw = terms.draw;
   t.lease = terms.lease;
+  t.record_bytes = terms.record_bytes;
   last_peer_ = t.keepers;
   const Ms at = clock();
   if (keeper && !terms.folder.empty()) {
@@ -331,6 +332,8 @@
       more |= pass(out.keeper.sends);
     } else if (writes_again_ > 0) {
       node_->unwritten(std::move(out.keeper));
+    } else if (!out.keeper.standing && out.keeper.writes.empty() && folder_->waiting() == 0) {
+      more |= pass(out.keeper.sends);
     } else if (!out.keeper.empty()) {
       // A step without writes still follows those before it: its answers may be of what they hold.
       folder_->put(std::move(out.keeper));
@@ -409,7 +412,8 @@
 void Fleet::leave(Ms now, Ms until) {
   leaves_at_ = clock();
   leave_until_ = until;
-  (void)now;
+  node_->merges().leave();
+  carry_out(now);
 }
 
 bool Fleet::left(Ms) const {
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -31,6 +31,7 @@
   std::string folder;                // of a keeper; empty: none
   std::vector<std::string> duties;   // names, or a kind as "trial:*", that this gateway is willing to hold
   Ms lease = 3000;
+  size_t record_bytes = 32 * 1024 * 1024;  // of values that a keeper holds
   uint64_t draw = 1;  // a chance of this start alone
 };
 
--- a/src/fleet/node.cpp
+++ b/src/fleet/node.cpp
@@ -18,6 +18,7 @@
   record::KeeperTerms out;
   out.self = t.self;
   out.keepers = t.keepers;
+  out.bytes_most = t.record_bytes;
   return out;
 }
 
--- a/src/fleet/node.h
+++ b/src/fleet/node.h
@@ -24,6 +24,7 @@
   std::string name;   // the address that its peers reach it at
   uint64_t draw = 1;  // the chance of this start: of lives, ids and waits
   Ms lease = 3000;
+  size_t record_bytes = 32 * 1024 * 1024;  // of values that a keeper holds
 };
 
 class Node {
--- a/src/gateway/serve.cpp
+++ b/src/gateway/serve.cpp
@@ -29,8 +29,8 @@
 constexpr Ms kEndLook = 5;  // between looks whether all is answered, while ending
 constexpr int kDescriptorsKept =
     16;  // beside those of the links: standard streams, the reactor, the listener, files
-// Parts of the memory limit: of links' buffers, and of the statements in hand. The rest is the program's own.
-constexpr double kBufferPart = 0.4, kStatementPart = 0.2;
+// Parts of the memory limit: of links' buffers, of the statements in hand, and of a keeper's record. The rest is the program's own.
+constexpr double kBufferPart = 0.4, kStatementPart = 0.2, kRecordPart = 0.1;
 
 using log::Level;
 
@@ -151,7 +151,7 @@
   std::unique_ptr<spool::Spool> spool;
 };
 
-fleet::FleetTerms fleet_terms(const config::Operator::Fleet& wish) {
+fleet::FleetTerms fleet_terms(const config::Operator::Fleet& wish, double memory) {
   fleet::FleetTerms terms;
   terms.listen = wish.listen;
   terms.name = wish.name();
@@ -161,6 +161,7 @@
   terms.folder = wish.folder;
   terms.duties = wish.duties;
   terms.lease = wish.lease_ms;
+  terms.record_bytes = static_cast<size_t>(kRecordPart * memory);
   std::random_device device;
   terms.draw = (static_cast<uint64_t>(device()) << 32) | device();
   return terms;
@@ -192,7 +193,7 @@
   };
   std::unique_ptr<fleet::Fleet> peers;
   if (wishes.fleet.on)
-    peers = std::make_unique<fleet::Fleet>(loop, counters, fleet_terms(wishes.fleet), clients, say);
+    peers = std::make_unique<fleet::Fleet>(loop, counters, fleet_terms(wishes.fleet, bytes), clients, say);
   Core core(articles, told.seed, peers ? static_cast<Front&>(*peers) : clients, engines, counters,
             [&](const std::string& text, const std::string& engine) {
               say(Level::kWarning, text, {{"component", "module"}, {"engine", engine}});
--- a/src/record/keeper.cpp
+++ b/src/record/keeper.cpp
@@ -35,8 +35,10 @@
     : terms_(terms), standing_(std::move(standing)), slots_(std::move(slots)), sources_(terms.keepers) {
   standing_.lives.resize(terms.keepers);
   standing_.founders.resize(terms.keepers);
-  for (const auto& [key, slot] : slots_)
+  for (const auto& [key, slot] : slots_) {
+    bytes_ += slot.fact.value.size();
     if (slot.fact.version > 0) touch(key);
+  }
   // Who had begun to recover was answered for a life that may be noted already: it takes the next one.
   recovering_ = false;
 }
@@ -74,6 +76,7 @@
 
 void Keeper::hold(Ms now, const std::string& key, Slot& slot, const Message& m) {
   const bool news = slot.fact.change != m.fact.change;
+  bytes_ += m.fact.value.size() - slot.fact.value.size();
   slot.promised = slot.held = m.ballot;
   slot.fact = m.fact;
   dirty_[key] = true;
@@ -122,7 +125,10 @@
     }
     case Say::kAccept: {
       Slot* const s = slot(m.key);
-      const bool large = m.fact.value.size() > kValueMost || m.fact.before.size() > kRemembered;
+      const bool grows = s && m.fact.value.size() > s->fact.value.size() &&
+                         bytes_ + m.fact.value.size() - s->fact.value.size() > terms_.bytes_most;
+      const bool large =
+          grows || m.fact.value.size() > kValueMost || m.fact.before.size() > kRemembered;
       if (!s || large || (m.ballot < s->promised && !planted(Flaw::kNoPromise))) {
         Message out = answer(m, Say::kRefused);
         if (s) out.ballot = s->promised;
@@ -153,8 +159,10 @@
       note(from, m.op);
       Message out = answer(m, Say::kState);
       auto at = m.key.empty() ? slots_.begin() : slots_.upper_bound(m.key);
-      for (; at != slots_.end() && out.entries.size() < terms_.page; ++at)
+      for (size_t bytes = 0; at != slots_.end() && fits(out, bytes); ++at) {
+        bytes += at->second.fact.value.size();
         out.entries.emplace_back(at->first, at->second);
+      }
       out.more = at != slots_.end();
       return say(from, std::move(out));
     }
@@ -163,6 +171,10 @@
   }
 }
 
+bool Keeper::fits(const Message& m, size_t entries_bytes) const {
+  return m.entries.size() < terms_.page && entries_bytes < terms_.page_bytes;
+}
+
 void Keeper::tell(Peer to, const Looker& looker) {
   Message out;
   out.say = Say::kChanges;
@@ -170,8 +182,10 @@
   out.life = standing_.life;
   out.since = looker.since;
   auto at = order_.upper_bound(looker.since);
-  for (; at != order_.end() && out.entries.size() < terms_.page; ++at) {
-    out.entries.emplace_back(at->second, slots_[at->second]);
+  for (size_t bytes = 0; at != order_.end() && fits(out, bytes); ++at) {
+    const Slot& slot = slots_[at->second];
+    bytes += slot.fact.value.size();
+    out.entries.emplace_back(at->second, slot);
     out.since = at->first;
   }
   out.more = at != order_.end();
@@ -251,6 +265,7 @@
     Slot& mine = slots_[key];
     mine.promised = std::max(mine.promised, theirs.promised);
     if (theirs.held > mine.held) {
+      bytes_ += theirs.fact.value.size() - mine.fact.value.size();
       mine.held = theirs.held;
       mine.fact = theirs.fact;
     }
--- a/src/record/keeper.h
+++ b/src/record/keeper.h
@@ -26,8 +26,8 @@
   Ms ask_again = 200;      // between questions while it has no memory
   Ms look_every = 250;     // changes that are not urgent are told to lookers so often
   Ms look_longest = 1000;  // a look with nothing to tell is answered after it
-  size_t page = 64;        // facts in one message
-  size_t facts_most = 65536;
+  size_t page = 64, page_bytes = 256 * 1024;  // facts in one message, and about how large it gets
+  size_t facts_most = 65536, bytes_most = 32 * 1024 * 1024;  // of values; beyond, what grows is refused
 };
 
 // What outlives a process, beside the slots.
@@ -84,6 +84,7 @@
   void touch(const std::string& key);
   void note(Peer keeper, Life life);
   void hold(Ms now, const std::string& key, Slot& slot, const Message& m);
+  bool fits(const Message& m, size_t entries_bytes) const;
   void tell(Peer to, const Looker& looker);
   void hear_standing(Peer from, const Message& m);
   void hear_state(Peer from, const Message& m);
@@ -99,6 +100,7 @@
   uint64_t last_ = 0;
   std::map<Peer, Looker> lookers_;
   std::vector<Source> sources_;
+  size_t bytes_ = 0;  // of values held
   bool recovering_ = false, urgent_ = false, standing_changed_ = false;
   Ms ask_at_ = 0, told_at_ = 0;
   std::map<std::string, bool> dirty_;
--- a/tests/duty/duties_test.cpp
+++ b/tests/duty/duties_test.cpp
@@ -397,6 +397,24 @@
   EXPECT_EQ(b_.count(Act::kAnswer), 1);
 }
 
+TEST_F(MergesTest, WhoWaitsAtAGatewayThatEndsIsToldAtOnceAndWhatHasBegunGoesOn) {
+  ask(a_, 1, 100);
+  run(record_, {&a_}, 100, 500);
+  ASSERT_EQ(a_.count(Act::kStart), 1);
+  a_.merges.ask(500, "another", 2, 7, 10000);
+  a_.merges.leave();
+  a_.go(record_, 500);
+  EXPECT_EQ(a_.count(Act::kFail), 1);
+  ask(a_, 3, 510);
+  a_.go(record_, 510);
+  EXPECT_EQ(a_.count(Act::kFail), 2);
+  EXPECT_TRUE(a_.merges.runs());
+  a_.merges.run_ended(600, "night", Merges::End::kAnswered, "done\n");
+  run(record_, {&a_}, 600, 700);
+  EXPECT_EQ(a_.count(Act::kAnswer), 1);
+  EXPECT_TRUE(a_.merges.idle());
+}
+
 TEST_F(MergesTest, WhoLostTheDutyTellsItsOwnAndLeavesTheRecordToTheNext) {
   ask(a_, 1, 100);
   run(record_, {&a_}, 100, 500);
--- a/tests/record/keeper_test.cpp
+++ b/tests/record/keeper_test.cpp
@@ -231,6 +231,43 @@
   EXPECT_EQ(keepers_[0].take().sends.size(), 1u);
 }
 
+TEST_F(Record, LargeFactsComeInSeveralPagesAndTheirBytesAreLimited) {
+  Wish large;
+  for (int i = 0; i < 12; ++i) {
+    large = change(100 + static_cast<uint64_t>(i), 0, "large" + std::to_string(i));
+    large.value.assign(100 * 1024, 'x');
+    ASSERT_EQ(ask(large, {0, 1}).kind, End::Kind::kAgreed);
+  }
+  keepers_[2] = fresh(2, 88);
+  size_t most = 0;
+  for (int turn = 0; turn < 100 && !keepers_[2].full(); ++turn, now_ += 50)
+    for (Peer p = 0; p < 3; ++p) {
+      keepers_[p].due(now_);
+      for (Envelope& e : keepers_[p].take().sends) {
+        size_t bytes = 0;
+        for (const auto& [key, slot] : e.message.entries) bytes += slot.fact.value.size();
+        most = std::max(most, bytes);
+        if (e.to < 3) keepers_[e.to].hear(now_, p, e.message);
+      }
+    }
+  EXPECT_TRUE(keepers_[2].full());
+  EXPECT_EQ(keepers_[2].slots().size(), 12u);
+  EXPECT_LT(most, 500u * 1024);
+  KeeperTerms t;
+  t.keepers = 1;
+  t.bytes_most = 1000;
+  Keeper small(t, 5);
+  Message m = accept(1, 1);
+  m.fact.value.assign(900, 'x');
+  small.hear(1, 9, m);
+  m.key = "other";
+  small.hear(1, 9, m);
+  const Step step = small.take();
+  EXPECT_EQ(step.sends[0].message.say, Say::kAccepted);
+  EXPECT_EQ(step.sends[1].message.say, Say::kRefused);
+  EXPECT_TRUE(step.sends[1].message.full);
+}
+
 TEST_F(Record, FactsAreLimited) {
   KeeperTerms t;
   t.self = 0;
