Tests look at a holder once: a lease that ended between two looks was read as another's

Cause: under the sanitizers Processes.HolderThatIsHeardAndHearsNothing failed after 1.5 s: handed_on() called holder() twice, and the lease ran out between the two (an empty optional was read); soon() looked once more after it had seen what it waited for.

--- a/tests/fleet/processes_test.cpp
+++ b/tests/fleet/processes_test.cpp
@@ -44,9 +44,18 @@
       for (size_t i = 0; i < crowd_->size(); ++i) std::printf("--- %zu\n%s", i, crowd_->log(i).c_str());
   }
   std::optional<size_t> holder() { return crowd_->holder("trial:a"); }
+  // Who may act, waited for.
+  size_t held_by() {
+    std::optional<size_t> one;
+    EXPECT_TRUE(soon([&] { return (one = holder()).has_value(); }));
+    return one.value_or(0);
+  }
   // Another than that one may act.
   bool handed_on(size_t from) {
-    return soon([&] { return holder().has_value() && *holder() != from; });
+    return soon([&] {
+      const auto now = holder();
+      return now && *now != from;
+    });
   }
   // Asks that gateway, or those, for a load under a name.
   client::Result merge(std::vector<size_t> gateways, const std::string& name, const std::string& statement,
@@ -74,7 +83,7 @@
 
 TEST_F(Processes, HolderStoppedPastItsLeaseAndContinued) {
   Crowd& c = begin();
-  const size_t first = *holder();
+  const size_t first = held_by();
   c.pause(first);
   EXPECT_TRUE(handed_on(first));
   c.go_on(first);
@@ -84,7 +93,7 @@
 
 TEST_F(Processes, HolderKilled) {
   Crowd& c = begin();
-  const size_t first = *holder();
+  const size_t first = held_by();
   const Ms at = Crowd::clock();
   c.kill(first);
   EXPECT_TRUE(handed_on(first));
@@ -95,7 +104,7 @@
   CrowdTerms t;
   t.lease = 5000;
   Crowd& c = begin(t);
-  const size_t first = *holder();
+  const size_t first = held_by();
   EXPECT_EQ(c.end(first), 0);
   EXPECT_TRUE(handed_on(first));
   lab::FleetHistory h;
@@ -125,7 +134,7 @@
 
 TEST_F(Processes, HolderThatIsHeardAndHearsNothing) {
   Crowd& c = begin();
-  const size_t first = *holder();
+  const size_t first = held_by();
   for (size_t k = 0; k < c.size(); ++k)
     if (k != first) c.between().set(k, first, {.silent = true});
   EXPECT_TRUE(handed_on(first));
@@ -217,7 +226,7 @@
   for (auto& a : asked) answered += a.get().outcome == client::Outcome::kAnswered;
   EXPECT_EQ(runs("insert lossy /*! delay=200 */"), 1);
   EXPECT_GT(answered, 0u);
-  const size_t first = *holder() % c.size();
+  const size_t first = held_by();
   c.kill(first);
   EXPECT_TRUE(handed_on(first));
 }
