--- a/src/record/asker.cpp
+++ b/src/record/asker.cpp
@@ -67,7 +67,9 @@
 // sender: what that one said before it lost its memory holds no longer.
 uint32_t Asker::counted(const Round& round, std::vector<const Answer*>* which) const {
   uint32_t all = 0;
-  for (const auto& [keeper, answer] : round.answers) {
+  for (const auto& one : round.answers) {
+    const Peer keeper = one.first;
+    const Answer& answer = one.second;
     const bool outlived = std::any_of(round.answers.begin(), round.answers.end(), [&](const auto& other) {
       return keeper < other.second.lives.size() && other.second.lives[keeper] > answer.life;
     });
