--- a/src/lab/fleet_world.cpp
+++ b/src/lab/fleet_world.cpp
@@ -78,8 +78,6 @@
     std::optional<record::Standing> standing;
     std::map<std::string, record::Slot> slots;
     std::map<std::string, HeldSpan> open;  // by duty
-    std::map<uint64_t, uint32_t> merge_calls;
-    std::map<uint64_t, Ms> asked;  // wishes of readers, by id
     uint64_t last_seen = 0;        // the change that its reader saw last
     Ms stalled_at = 0;
   };
@@ -147,8 +145,6 @@
     ++g.start;
     g.wake_at = 0;
     g.fence = {};
-    g.merge_calls.clear();
-    g.asked.clear();
     g.last_seen = 0;
     const Ms at = local(g);
     if (n < o_.keepers && g.standing)
--- a/src/schema/check.cpp
+++ b/src/schema/check.cpp
@@ -119,7 +119,7 @@
 }
 
 // Steps that end a breach which readers stand behind.
-std::vector<std::string> beside(const std::string& field, const std::vector<Reader>&) {
+std::vector<std::string> beside(const std::string& field) {
   return {fmt::format("add a new field beside {}, and publish both", field),
           "let the subscribers named declare versions that read the new one",
           fmt::format("then leave {} out", field)};
@@ -253,11 +253,6 @@
   return at != fields.end() && at->number == number ? &*at : nullptr;
 }
 
-const Field* Schema::find(const std::string& name) const {
-  const auto at = std::find_if(fields.begin(), fields.end(), [&](const Field& f) { return f.name == name; });
-  return at != fields.end() ? &*at : nullptr;
-}
-
 const Version* Bulletin::find(uint32_t number) const {
   const auto at =
       std::find_if(versions.begin(), versions.end(), [&](const Version& v) { return v.number == number; });
@@ -293,13 +288,13 @@
     if (!convertible(*w, r)) {
       breach(Rule::kTypeNarrowed, r.number,
              fmt::format("{} comes as {} and is read as {}", shown(r), name_of(w->type), name_of(r.type)),
-             beside(r.name, {}));
+             beside(r.name));
       continue;
     }
     if (w->unit != r.unit)
       breach(Rule::kUnitChanged, r.number,
              fmt::format("{} comes in \"{}\" and is read in \"{}\"", shown(r), w->unit, r.unit),
-             beside(r.name, {}));
+             beside(r.name));
     const Span theirs = span_of(*w), ours = span_of(r);
     // Where only the type of integers is wider, convertible() has looked at what may come.
     const bool wider = w->type == r.type || w->type == Type::kText
--- a/src/schema/schema.h
+++ b/src/schema/schema.h
@@ -39,7 +39,6 @@
   std::string order =
       "number";  // what readers may rely on: "number" (one order for all) or "key" (for each key)
   const Field* find(uint32_t number) const;
-  const Field* find(const std::string& name) const;
   bool operator==(const Schema&) const = default;
 };
 
--- a/tests/duty/explore_test.cpp
+++ b/tests/duty/explore_test.cpp
@@ -1,7 +1,6 @@
 // Two that want one duty, over a record that agrees at once and whose answers and sights come at any time or
 // never, on clocks at both ends of what is allowed. Which of them is looked after next, and when, is left
 // open: a process that stands still is one that is not looked after.
-#include "lab/explore.h"
 
 #include <gtest/gtest.h>
 
@@ -9,9 +8,8 @@
 
 #include "duty/duties.h"
 #include "duty/merges.h"
-#include "bound.h"
-#include "index/planted.h"
 #include "record/digest.h"
+#include "searching.h"
 
 namespace firvalve::duty {
 namespace {
@@ -60,7 +58,6 @@
     facts_ = o.facts_;
     ticks_ = o.ticks_;
     begun_ = o.begun_;
-    seen_old_ = o.seen_old_;
     return *this;
   }
 
@@ -181,31 +178,12 @@
   std::vector<std::vector<record::End>> ready_;
   std::vector<record::Fact> facts_;
   int ticks_ = 0, begun_ = 0;
-  bool seen_old_ = false;
 };
 
 const size_t kMost = states_most();
 
-void print(const lab::Explored& out) {
-  std::printf("%zu states, depth %zu, %s%s\n", out.states, out.depth, out.whole ? "whole" : "cut off",
-              out.breach ? (": " + *out.breach).c_str() : "");
-  for (const std::string& line : out.trace) std::printf("  %s\n", line.c_str());
-}
-
-lab::Explored explore(const Bounds& bounds, size_t most) {
-  const lab::Explored out = lab::explore(Pair(bounds), most);
-  print(out);
-  return out;
-}
-
-bool found(const Bounds& bounds, Flaw flaw) {
-  planted_flaw = flaw;
-  const lab::Explored out = lab::wander(Pair(bounds), 1, kMost / 2, 60);
-  planted_flaw = Flaw::kNone;
-  print(out);
-  return out.breach.has_value();
-}
-
+lab::Explored explore(const Bounds& bounds, size_t most) { return explored<Pair>(bounds, most); }
+bool found(const Bounds& bounds, Flaw flaw) { return walks_find<Pair>(bounds, flaw, kMost / 2); }
 
 TEST(ExploreDuty, NeverTwoThatMayAct) {
   const lab::Explored out = explore({}, kMost);
--- a/tests/record/explore_test.cpp
+++ b/tests/record/explore_test.cpp
@@ -1,17 +1,15 @@
 // Every way in which messages are delivered, lost, repeated, in which a keeper dies and in which askers give
 // up waiting, over the real keepers and askers, up to the bounds that each test names.
-#include "lab/explore.h"
 
 #include <gtest/gtest.h>
 
 #include <algorithm>
 #include <map>
 
-#include "bound.h"
-#include "index/planted.h"
 #include "record/asker.h"
 #include "record/digest.h"
 #include "record/keeper.h"
+#include "searching.h"
 
 namespace firvalve::record {
 namespace {
@@ -235,26 +233,8 @@
 
 const size_t kMost = states_most();
 
-void print(const lab::Explored& out) {
-  std::printf("%zu states, depth %zu, %s%s\n", out.states, out.depth, out.whole ? "whole" : "cut off",
-              out.breach ? (": " + *out.breach).c_str() : "");
-  for (const std::string& line : out.trace) std::printf("  %s\n", line.c_str());
-}
-
-lab::Explored explore(const Bounds& bounds, size_t most) {
-  const lab::Explored out = lab::explore(Race(bounds), most);
-  print(out);
-  return out;
-}
-
-bool found(const Bounds& bounds, Flaw flaw) {
-  planted_flaw = flaw;
-  const lab::Explored out = lab::wander(Race(bounds), 1, kMost / 2, 60);
-  planted_flaw = Flaw::kNone;
-  print(out);
-  return out.breach.has_value();
-}
-
+lab::Explored explore(const Bounds& bounds, size_t most) { return explored<Race>(bounds, most); }
+bool found(const Bounds& bounds, Flaw flaw) { return walks_find<Race>(bounds, flaw, kMost / 2); }
 
 TEST(Explore, TwoThatChangeOneFactAndNobodyGivesUp) {
   Bounds b;
--- /dev/null
+++ b/tests/searching.h
@@ -0,0 +1,35 @@
+// Searches over states, printed as they end: whole up to a bound, or drawn walks with a flaw planted.
+#pragma once
+
+#include <cstdio>
+
+#include "bound.h"
+#include "index/planted.h"
+#include "lab/explore.h"
+
+namespace firvalve {
+
+inline void print(const lab::Explored& out) {
+  std::printf("%zu states, depth %zu, %s%s\n", out.states, out.depth, out.whole ? "whole" : "cut off",
+              out.breach ? (": " + *out.breach).c_str() : "");
+  for (const std::string& line : out.trace) std::printf("  %s\n", line.c_str());
+}
+
+template <class State, class Bounds>
+lab::Explored explored(const Bounds& bounds, size_t most) {
+  const lab::Explored out = lab::explore(State(bounds), most);
+  print(out);
+  return out;
+}
+
+// Whether walks from the state, built with the flaw in place, break a rule.
+template <class State, class Bounds>
+bool walks_find(const Bounds& bounds, Flaw flaw, size_t walks) {
+  planted_flaw = flaw;
+  const lab::Explored out = lab::wander(State(bounds), 1, walks, 60);
+  planted_flaw = Flaw::kNone;
+  print(out);
+  return out.breach.has_value();
+}
+
+}  // namespace firvalve
