--- a/src/core/core.cpp
+++ b/src/core/core.cpp
@@ -41,15 +41,17 @@
       back_(back),
       counters_(counters),
       say_(std::move(say)),
-      tick_(number(articles, "tick")),
-      longest_timeout_(longest_timeout(articles)) {
+      tick_(number(articles, "tick")) {
   double cores = 0, memory_mb = 0;
   for (const auto& [name, value] : articles) {
     if (name.starts_with("cores.")) cores = std::max(cores, number(articles, name));
     if (name.starts_with("memory.")) memory_mb = std::max(memory_mb, number(articles, name));
   }
-  most_estimate_ = kRough * longest_timeout_ * cores;
-  most_memory_mb_ = kRough * memory_mb;
+  // Where the settings do not tell what there is, any figure may be a client's.
+  const Ms longest = longest_timeout(articles);
+  if (longest > 0) most_timeout_ = 2 * longest;
+  if (longest * cores > 0) most_estimate_ = kRough * longest * cores;
+  if (memory_mb > 0) most_memory_mb_ = kRough * memory_mb;
 }
 
 Ms longest_timeout(const Articles& articles) {
@@ -70,11 +72,10 @@
   if (profile == profiles_.end()) return TakeIn::kUnknownProfile;
   // Guards the module's means against figures that no client of this deployment can have. It may cost one
   // whose settings are long out of date.
-  if (asked.timeout > 2 * longest_timeout_ || asked.estimate > most_estimate_ ||
-      asked.memory_mb > most_memory_mb_)
+  if (asked.timeout > most_timeout_ || asked.estimate > most_estimate_ || asked.memory_mb > most_memory_mb_)
     return TakeIn::kOutOfRange;
   const int number_of_profile = static_cast<int>(profile - profiles_.begin());
-  if (!asked.first.empty() && join(call, asked, number_of_profile)) return TakeIn::kTaken;
+  if (!asked.first.empty() && join(now, call, asked, number_of_profile)) return TakeIn::kTaken;
   const bool paged = asked.paged && shelf_;
   if (paged && !asked.first.empty()) {
     const Shelf::Wish wish{asked.owner, asked.key, asked.profile, asked.statement, asked.first, asked.tables};
@@ -92,7 +93,7 @@
   h.chain = asked.first.empty() ? id.text : command_id(asked.first).text;
   if (h.chain != id.text) chains_[h.chain] = id.text;
   h.gives_up_at = sooner(now + asked.timeout, closes_at_);
-  calls_[call] = id.text;
+  calls_[call] = {id.text};
   counters_.add("taken", *profile);
   Taken t;
   t.id = id;
@@ -161,7 +162,7 @@
 // Guards against a second run of what is still in hand, when a client lost sight of it and says it again: it
 // runs once and each call gets the answer. Only the same statement of the same profile is the same command;
 // whoever can name both and the id could have read the answer anyway.
-bool Core::join(CallRef call, const Asked& asked, int profile) {
+bool Core::join(Ms now, CallRef call, const Asked& asked, int profile) {
   const Id chain = command_id(asked.first).text;
   const auto repeat = chains_.find(chain);
   const auto at = held_.find(repeat != chains_.end() ? repeat->second : chain);
@@ -169,8 +170,9 @@
   if (at->second.profile != profile || at->second.statement != asked.statement) return false;
   if (at->second.paged != (asked.paged && shelf_) || at->second.key != asked.key) return false;
   at->second.joined.push_back(call);
-  calls_[call] = at->first;
+  calls_[call] = {at->first};
   counters_.add("joined", profiles_[static_cast<size_t>(profile)]);
+  review_clients(now, at->first);
   return true;
 }
 
@@ -182,7 +184,7 @@
 void Core::client_gone(Ms now, CallRef call) {
   const auto at = calls_.find(call);
   if (at == calls_.end()) return;
-  const CommandId id{at->second};
+  const CommandId id{at->second.id};
   Held& h = held_.at(id.text);
   counters_.add("given up by client", profiles_[static_cast<size_t>(h.profile)]);
   if (!h.joined.empty()) {  // the others still wait for it
@@ -191,12 +193,35 @@
     else
       std::erase(h.joined, call);
     calls_.erase(at);
-    return;
+    return review_clients(now, id.text);
   }
   finish(held_.find(id.text));
   hear_now(now, ClientGone{id});
 }
 
+void Core::half_closed(Ms now, CallRef call) {
+  const auto at = calls_.find(call);
+  if (at == calls_.end()) return;
+  at->second.half_closed = true;
+  review_clients(now, at->second.id);
+}
+
+void Core::review_clients(Ms now, const Id& id) {
+  Held& h = held_.at(id);
+  bool all = true;
+  tell(h, [&](CallRef call) { all &= calls_.at(call).half_closed; });
+  if (all == h.half_closed) return;
+  h.half_closed = all;
+  hear_now(now, HalfClosed{CommandId{id}, all});
+}
+
+bool Core::may_begin(Ms now, uint64_t send) const {
+  const auto at = sends_.find(send);
+  if (at == sends_.end()) return false;
+  const Held& h = held_.at(at->second);
+  return h.call != 0 && now < h.gives_up_at && firvalve::may_begin(state_, CommandId{at->second}, now);
+}
+
 void Core::finish(HeldMap::iterator at) {
   tell(at->second, [&](CallRef call) { calls_.erase(call); });
   at->second.call = 0;
--- a/src/core/core.h
+++ b/src/core/core.h
@@ -64,6 +64,7 @@
 // Estimates are rough. One of so many times what the largest engine can give within the longest client
 // timeout is none.
 constexpr double kRough = 10;
+constexpr double kUntold = 1e12;  // ms, MB: the most of what the settings give no measure for
 
 // The sooner of two moments, where 0 is none.
 inline Ms sooner(Ms a, Ms b) { return a == 0 || (b > 0 && b < a) ? b : a; }
@@ -98,7 +99,9 @@
   void room(Ms now);                        // the shelf may have a place again
   TakeIn take_in(Ms now, CallRef call, Asked&& asked);
   void client_gone(Ms now, CallRef call);           // revoked, or its connection ended
+  void half_closed(Ms now, CallRef call);           // its connection's stream has ended: it may be read still
   CallRef call_of(std::string_view command) const;  // 0: not in hand
+  bool may_begin(Ms now, uint64_t send) const;      // asked right before a start is written
   void roster(Ms now, bool full, std::vector<NamedListing> listings);
   void noted(Ms now, uint64_t send, NoteKind kind, double value);
   // Rows of a paged send, a page more.
@@ -130,7 +133,7 @@
     int profile = 0, sends = 0, priority = -1;
     uint64_t send = 0;  // out now; 0: none
     Ms gives_up_at = 0, sent_at = 0;
-    bool overdue = false;
+    bool overdue = false, half_closed = false;  // half closed: all clients that wait for it
     // Of a paged one: its place on the shelf, 0: it waits for one, and what the place is asked for with.
     bool paged = false;
     ShelfNo place = 0;
@@ -147,9 +150,10 @@
   bool seek_place(Ms now, HeldMap::iterator at);
   Shelf::Wish wish_of(const Held& h) const;
   void give_up(Ms now, HeldMap::iterator at, std::string_view why);
-  bool join(CallRef call, const Asked& asked, int profile);
+  void review_clients(Ms now, const Id& id);  // whether any of them is sure to be there still
+  bool join(Ms now, CallRef call, const Asked& asked, int profile);
   template <class Tell>
-  void tell(const Held& h, Tell&& one) {  // each call that waits for it
+  void tell(const Held& h, Tell&& one) const {  // each call that waits for it
     if (h.call != 0) one(h.call);
     for (const CallRef call : h.joined) one(call);
   }
@@ -162,7 +166,11 @@
   Counters& counters_;
   Say say_;
   HeldMap held_;
-  std::map<CallRef, Id> calls_;
+  struct Call {
+    Id id{};
+    bool half_closed = false;
+  };
+  std::map<CallRef, Call> calls_;
   std::map<Id, Id> chains_;  // of those marked with another's id, while a client waits: the one in hand
   std::map<uint64_t, Id> sends_;
   Shelf* shelf_ = nullptr;
@@ -174,9 +182,9 @@
   std::map<Ms, uint64_t> bells_;
   Actions actions_;
   uint64_t last_send_ = 0;
-  const Ms tick_, longest_timeout_;
-  Ms most_estimate_ = 0;
-  double most_memory_mb_ = 0;
+  const Ms tick_;
+  Ms most_timeout_ = kUntold, most_estimate_ = kUntold;
+  double most_memory_mb_ = kUntold;
   size_t most_held_ = SIZE_MAX, held_bytes_ = 0;
   Ms now_ = 0;  // of the last event
   Ms decided_at_ = 0, closes_at_ = 0;
--- a/src/gateway/serve.cpp
+++ b/src/gateway/serve.cpp
@@ -29,9 +29,13 @@
 constexpr Ms kEndLook = 5;  // between looks whether all is answered, while ending
 constexpr int kDescriptorsKept =
     16;  // beside those of the links: standard streams, the reactor, the listener, files
-// Parts of the memory limit: of links' buffers, of the statements in hand, and of a keeper's record. The rest is the program's own.
+// Parts of the memory limit: of links' buffers, of the statements in hand, and of a keeper's record. The rest
+// is the program's own.
 constexpr double kBufferPart = 0.4, kStatementPart = 0.2, kRecordPart = 0.1;
 
+constexpr double kFirstPart =
+    0.1;  // of the grace for drains: by then the event bus is asked for the first time
+
 using log::Level;
 
 void set_log(log::Log& logger, const config::Operator::Log& wish) {
@@ -108,6 +112,12 @@
   return told;
 }
 
+// A time of the settings; one of nothing is taken as not told.
+Ms told_or(const Articles& articles, const char* name, Ms otherwise) {
+  const Ms told = number(articles, name, otherwise);
+  return told > 0 ? told : otherwise;
+}
+
 config::Operator read_wishes(const std::string& file) {
   if (file.empty()) return {};
   const config::Reading reading = config::read_operator_file(file);
@@ -170,6 +180,7 @@
 }  // namespace
 
 int serve(const std::string& operator_file) {
+  net::hold_signals();
   const config::Operator wishes = read_wishes(operator_file);
   Told told = read_told();
   // Guards against a spool that takes the memory which connections and statements need: the gateway would be
@@ -184,10 +195,12 @@
   net::Loop loop;
   loop.limit(told.sockets - kDescriptorsKept, static_cast<size_t>(kBufferPart * bytes));
   Counters counters;
-  const Ms connect = number(articles, "connect time-out", 250);
+  const Ms longest = longest_timeout(articles);
+  const Ms connect = told_or(articles, "connect time-out", 250),
+           idle = told_or(articles, "idle close", 15000);
   net::Clients clients(loop, counters);
   clients.read_marks(wishes.clients.marks);
-  net::Engines engines(loop, counters, {connect, number(articles, "idle close", 15000)});
+  net::Engines engines(loop, counters, {connect, idle});
   const auto say = [&](Level level, std::string_view event, log::Fields fields) {
     logger.write(loop.now(), level, event, fields);
   };
@@ -211,7 +224,7 @@
     clients.read_pages(*shelving.spool);
     shelving.spool->on_room = [&core](Ms now) { core.room(now); };
   }
-  net::Bus bus(loop, counters, told.bus, connect, told.seed);
+  net::Bus bus(loop, counters, told.bus, connect, kFirstPart * number(articles, "drain grace"), told.seed);
 
   for (proto::BusEvent& event : told.known) net::tell_roster(core, loop.now(), std::move(event));
   bus.follow(core, told.last);
@@ -245,7 +258,7 @@
     }
     if (ended_at > 0) return;
     ended_at = loop.now();
-    const Ms answered_by = ended_at + proto::answers_end(longest_timeout(articles));
+    const Ms answered_by = ended_at + proto::answers_end(longest);
     core.closing(ended_at, answered_by);
     if (peers) peers->leave(ended_at, answered_by);
     say(Level::kInfo, "ending: everything taken is answered first", {{"component", "gateway"}});
@@ -259,10 +272,11 @@
     clients.due(now);
     if (peers) peers->due(now);
     core.turn(now);
-    if (ended_at > 0 && now >= ended_at + proto::kComingOn && core.unanswered() == 0 &&
-        clients.unsent() == 0 && (!shelving.spool || shelving.spool->settled()) &&
-        (!peers || peers->left(now)))
-      loop.stop();
+    const bool settled = ended_at > 0 && now >= ended_at + proto::kComingOn && core.unanswered() == 0 &&
+                         clients.unsent() == 0 && (!shelving.spool || shelving.spool->settled()) &&
+                         (!peers || peers->left(now));
+    if (settled && clients.leave(now)) loop.stop();
+    if (ended_at > 0 && now >= ended_at + proto::leaving_end(longest)) loop.stop();
     if (ended_at > 0) return now + kEndLook;
     const Ms fleet_due = peers ? peers->next_due(now) : 0;
     const Ms spooled = shelving.spool ? shelving.spool->next_due() : 0;
--- a/src/net/bus.cpp
+++ b/src/net/bus.cpp
@@ -40,14 +40,16 @@
 constexpr Ms kMoveSpread = 1000;  // over which the gateways go where a new configuration sends them
 }  // namespace
 
-// A fleet that starts together does not come to the bus together: each has the list of its start.
-Bus::Bus(Loop& loop, Counters& counters, std::string address, Ms connect_most, uint64_t seed)
+// A fleet that starts together does not come to the bus in one moment. But what a gateway knows at its start
+// may be long out of date, and what the bus would have told counts as told: it is asked well within the grace
+// for drains, whatever the time for a connection is.
+Bus::Bus(Loop& loop, Counters& counters, std::string address, Ms connect_most, Ms first_within, uint64_t seed)
     : loop_(loop),
       counters_(counters),
       address_(std::move(address)),
       connect_most_(connect_most),
       again_(connect_most, kAgainMost, seed) {
-  due_at_ = loop_.now() + again_.spread(connect_most_);
+  due_at_ = loop_.now() + again_.spread(std::min(connect_most_, first_within));
 }
 Bus::~Bus() = default;
 
--- a/src/net/bus.h
+++ b/src/net/bus.h
@@ -13,7 +13,8 @@
 
 class Bus {
  public:
-  Bus(Loop& loop, Counters& counters, std::string address, Ms connect_most, uint64_t seed);
+  // first_within: from the start, by when it is asked at the latest.
+  Bus(Loop& loop, Counters& counters, std::string address, Ms connect_most, Ms first_within, uint64_t seed);
   ~Bus();
 
   void follow(Core& core, int64_t last) {
--- a/src/net/clients.cpp
+++ b/src/net/clients.cpp
@@ -17,6 +17,9 @@
     128 * 1024;                    // bytes of answers waiting, past which a client is read no further
 constexpr Ms kLook = 250;          // between looks at the clients' times
 constexpr int kAcceptAtOnce = 64;  // connections a turn, so that those open are heard in between
+// A lingering close, for the client's own end. A client cut off for its message hears within 3 s all told.
+constexpr Ms kLingerMost = 500;
+constexpr Ms kLingerAtEnd = 150;  // the same of all clients, when the gateway itself ends
 }  // namespace
 
 class Clients::Connection : public Link {
@@ -29,19 +32,24 @@
   std::map<int64_t, CallRef> open_calls;
   bool peer_done = false;
 
-  bool spare() const override { return open_calls.empty(); }
+  // One that has said something which was not read yet is not idle: a close now would reset it.
+  bool spare() const override { return lingers() || (open_calls.empty() && quiet()); }
   void spared() override {
     owner_.counters_.add("client connections ended for want of room");
     finish();
   }
 
-  void finish() {
+  void give_up_calls() {
     const Ms now = loop_.now();
     for (const auto& [id, call] : open_calls) {
       owner_.open_.erase(call);
       owner_.gone(now, call);
     }
     open_calls.clear();
+  }
+
+  void finish() {
+    give_up_calls();
     close();
     const auto at = owner_.connections_.find(this);
     if (at == owner_.connections_.end()) return;
@@ -49,6 +57,13 @@
     owner_.connections_.erase(at);
   }
 
+  // Its own end, in good order; what it says from now on is not taken.
+  void leave() {
+    give_up_calls();
+    since_ = loop_.now();
+    linger();
+  }
+
   // It can't be understood any further: an error without a number, the end of each call that is open, and its
   // own.
   void break_off(const char* why) {
@@ -57,7 +72,7 @@
     proto::append_error(out, 0, false, proto::kRpcUnreadable, why);
     for (const auto& [id, call] : open_calls) proto::append_error(out, id, true, proto::kRpcFailed, "failed");
     write(out);
-    finish();
+    leave();
   }
 
   void answered() {
@@ -69,9 +84,14 @@
   // read what they asked for. It may end a slow client's message; none that we know takes a part of that
   // time.
   void look(Ms now) {
+    if (lingers()) {
+      if (now - since_ > kLingerMost) finish();
+      return;
+    }
     if (part_since_ > 0 && now - part_since_ > proto::kRpcPartMost) return break_off("message cut short");
     if (!spoken_ && now - since_ > proto::kRpcPartMost) return break_off("no message");
-    if (open_calls.empty() && now - since_ > proto::kRpcIdleMost) finish();
+    // What it has said by now is heard first.
+    if (open_calls.empty() && now - since_ > proto::kRpcIdleMost && quiet()) leave();
   }
 
  protected:
@@ -92,18 +112,21 @@
       spoken_ = true;
       since_ = loop_.now();
       hear(body);
-      if (!open()) return;
+      if (!open() || lingers()) return;
     }
   }
   void on_written() override {
     if (!peer_done) read_on(true);
     if (!inbox_.text().empty()) on_bytes();
-    if (open()) answered();
+    if (open() && !lingers()) answered();
   }
+  // A client that has closed looks like one that has only finished writing. What is owed to both: each
+  // command taken in gets its answer, in case it still reads; none is sent on for it any more but at once.
   bool half_open() override {
     peer_done = true;
-    if (open_calls.empty() && unsent() == 0) return false;
-    return true;
+    const Ms now = loop_.now();
+    for (const auto& [id, call] : open_calls) owner_.core_->half_closed(now, call);
+    return !open_calls.empty() || unsent() > 0;
   }
   void on_end(End) override { finish(); }
 
@@ -291,7 +314,26 @@
   for (const auto& [key, connection] : connections_) all.push_back(key);
   for (Connection* const connection : all)
     if (connection->open()) connection->look(now);
-  accept_on(true);
+  if (!left_) accept_on(true);
+}
+
+// Whatever is in the system's hands by now is still taken and answered: connections not accepted yet, bytes
+// not read yet. The others are ended in good order. Only then is there nothing that the exit could lose.
+bool Clients::leave(Ms now) {
+  if (!left_) {
+    accept_on(false);
+    for (size_t before = SIZE_MAX; before != connections_.size(); accept()) before = connections_.size();
+    accept_on(false);
+    listener_.close();
+    left_ = true;
+  }
+  bool all = true;
+  for (const auto& [key, connection] : connections_) {
+    if (!connection->lingers() && connection->open_calls.empty() && connection->quiet()) connection->leave();
+    all &= connection->lingers();
+  }
+  if (all && leaving_since_ == 0) leaving_since_ = now;
+  return all && (connections_.empty() || now - leaving_since_ > kLingerAtEnd);
 }
 
 size_t Clients::unsent() const {
@@ -300,7 +342,7 @@
   return all;
 }
 
-void Clients::on_accept(const Poco::AutoPtr<ReadableNotification>&) {
+void Clients::accept() {
   for (int i = 0; i < kAcceptAtOnce; ++i) {
     // Guards against a loop that spins on connections it has no descriptor for: they wait in the system
     // meanwhile.
--- a/src/net/clients.h
+++ b/src/net/clients.h
@@ -21,6 +21,9 @@
   void due(Ms now);  // ends connections that have had their time, and accepts again once there is room
   Ms next_due() const { return look_at_; }
   size_t unsent() const;  // bytes of answers that clients have not taken yet
+  // The gateway ends, and everything taken has its answer: accepts no more and ends the connections. True
+  // once none is left that could lose anything; until then it is called again each turn.
+  bool leave(Ms now);
 
   void read_pages(Shelf& shelf) { shelf_ = &shelf; }
   void ask_fleet(FleetCalls& fleet) { fleet_ = &fleet; }
@@ -40,7 +43,8 @@
   };
 
   void accept_on(bool on);
-  void on_accept(const Poco::AutoPtr<Poco::Net::ReadableNotification>&);
+  void on_accept(const Poco::AutoPtr<Poco::Net::ReadableNotification>&) { accept(); }
+  void accept();
   void reply(CallRef call, const std::function<void(std::string&, int64_t)>& append);
   void reply(CallRef call, const FleetCalls::Told& told);
   Connection* close_call(CallRef call, int64_t& id);  // null: no such call
@@ -52,8 +56,8 @@
   FleetCalls* fleet_ = nullptr;  // none: this gateway is in no fleet
   Shelf* shelf_ = nullptr;       // none: there are no paged answers
   Poco::Net::ServerSocket listener_;
-  bool accepting_ = false, marks_ = false;
-  Ms look_at_ = 0;
+  bool accepting_ = false, marks_ = false, left_ = false;
+  Ms look_at_ = 0, leaving_since_ = 0;
   std::map<Connection*, std::unique_ptr<Connection>> connections_;
   std::map<CallRef, Open> open_;
   CallRef last_call_ = 0;
--- a/src/net/engines.cpp
+++ b/src/net/engines.cpp
@@ -8,6 +8,7 @@
 
 namespace {
 constexpr Ms kIdleSlack = 2000;          // before an engine's idle close: a call must not cross it
+constexpr double kIdlePart = 0.5;        // of the idle close at most: where that is short, some use is left
 constexpr int64_t kPagedMost = 1000000;  // pages of a result that goes to the spool
 constexpr Ms kSlowWait = 20;             // between pages that come faster than the disk takes them
 constexpr Ms kWaySlack = 100;            // past a time that the protocol states: for the way there and back
@@ -185,6 +186,12 @@
   link.starts = !send.told;
   if (send.told) {
     send.query.append_ask(call, send.order.command, host);
+  } else if (!core_->may_begin(now, link.send)) {
+    // Guards against a start that was decided on while its connection was still to come: meanwhile the engine
+    // may have begun to drain, the client have gone, the window for repeats have run out.
+    send.on = nullptr;
+    end(link.send, Outcome::kMoot);
+    return rest(link, now);
   } else {
     const Order& o = send.order;
     proto::append_start(call, {o.command, o.profile, o.statement, host, o.until - now, o.priority});
@@ -416,7 +423,8 @@
 
 Ms Engines::ends_at(const Connection& link) const {
   if (!link.up()) return link.since + (link.refused() ? 0 : times_.connect);
-  if (link.task == Task::kIdle) return link.since + times_.idle - kIdleSlack;
+  if (link.task == Task::kIdle)
+    return link.since + times_.idle - std::min(kIdleSlack, kIdlePart * times_.idle);
   return link.since + (link.task == Task::kDiscard ? proto::kUnaskedMost : proto::kNewsWait + kWaySlack);
 }
 
--- a/src/net/link.cpp
+++ b/src/net/link.cpp
@@ -67,9 +67,30 @@
          (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
+void Link::linger() {
+  if (!open_ || lingers_) return;
+  lingers_ = true;
+  loop_.yield(place_);
+  inbox_.used(inbox_.text().size());
+  inbox_.rest();
+  account();
+  want(true, writing_);
+  if (unsent() == 0) end_stream();
+}
+
+void Link::end_stream() { ::shutdown(socket_.impl()->sockfd(), SHUT_WR); }
+
+// Bounded a turn: a peer that sends without end must not keep the others waiting.
+void Link::discard() {
+  char bytes[kReadAtOnce];
+  const ssize_t got = ::recv(socket_.impl()->sockfd(), bytes, sizeof bytes, 0);
+  if (got == 0) return ended(End::kClosed);
+  if (got < 0 && errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR) ended(End::kReset);
+}
+
 void Link::abort() {
   if (open_ && up_) {
-    const linger now{1, 0};
+    const struct ::linger now { 1, 0 };
     ::setsockopt(socket_.impl()->sockfd(), SOL_SOCKET, SO_LINGER, &now, sizeof now);
   }
   close();
@@ -130,6 +151,7 @@
 void Link::ready() {
   if (!open_) return;
   if (!up_) return;
+  if (lingers_) return discard();
   const auto room = inbox_.room(kReadAtOnce);
   const ssize_t got = ::recv(socket_.impl()->sockfd(), room.data(), room.size(), 0);
   if (got > 0) {
@@ -159,7 +181,7 @@
     const ssize_t sent =
         ::send(socket_.impl()->sockfd(), out_.data() + out_sent_, out_.size() - out_sent_, MSG_NOSIGNAL);
     if (sent >= 0) {
-      loop_.touch(place_);
+      if (!lingers_) loop_.touch(place_);
       out_sent_ += static_cast<size_t>(sent);
     } else if (errno == EAGAIN || errno == EWOULDBLOCK) {
       break;
@@ -177,6 +199,7 @@
     out_sent_ = 0;
     account();
     if (waited) want(reading_, false);
+    if (lingers_) return end_stream();
     if (waited) on_written();
   } else if (!writing_) {
     want(reading_, true);
--- a/src/net/link.h
+++ b/src/net/link.h
@@ -34,7 +34,13 @@
   bool open() const { return open_; }
   bool refused() const { return refused_; }  // at once, when it was to be connected: its owner ends it
   void read_on(bool on);
-  void close();        // without a word to the subclass
+  void close();  // without a word to the subclass
+  // The end in good order (a lingering close): what was written still goes out, then the end of the stream;
+  // what comes is thrown away. Guards answers against the reset that a close over unread bytes sends. The
+  // peer's end is told by on_end(); until then the descriptor is held, and its owner must close it in bounded
+  // time.
+  void linger();
+  bool lingers() const { return lingers_; }
   bool quiet() const;  // nothing has come that was not read, not even its end
   void abort();        // the same, and what the peer has not taken yet never reaches it
 
@@ -54,6 +60,8 @@
   void on_error(const Poco::AutoPtr<Poco::Net::ErrorNotification>&);
   void ready();
   void flush();
+  void discard();
+  void end_stream();
   void account();
   void want(bool read, bool write);
   void ended(End end);
@@ -64,7 +72,7 @@
   size_t out_sent_ = 0, buffered_ = 0;
   const bool client_ = false;
   Loop::Place place_;
-  bool up_ = false, open_ = true, reading_ = false, writing_ = false, refused_ = false;
+  bool up_ = false, open_ = true, reading_ = false, writing_ = false, refused_ = false, lingers_ = false;
 };
 
 }  // namespace firvalve::net
--- a/src/net/loop.h
+++ b/src/net/loop.h
@@ -33,7 +33,8 @@
   using Place = std::list<Link*>::iterator;
   Place enter(Link& link);
   void leave(Place place);
-  void touch(Place place) { links_.splice(links_.end(), links_, place); }  // the least idle now
+  void touch(Place place) { links_.splice(links_.end(), links_, place); }    // the least idle now
+  void yield(Place place) { links_.splice(links_.begin(), links_, place); }  // the first to go
   void buffered(size_t before, size_t now) { bytes_ += now - before; }
 
  protected:
--- a/src/net/signals.cpp
+++ b/src/net/signals.cpp
@@ -23,6 +23,13 @@
   errno = kept;
 }
 
+sigset_t heard_set() {
+  sigset_t set;
+  ::sigemptyset(&set);
+  for (const int number : kHeard) ::sigaddset(&set, number);
+  return set;
+}
+
 Poco::Net::StreamSocket read_end() {
   int ends[2];
   if (::socketpair(AF_UNIX, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0, ends) != 0)
@@ -33,6 +40,11 @@
 
 }  // namespace
 
+void hold_signals() {
+  const sigset_t set = heard_set();
+  ::pthread_sigmask(SIG_BLOCK, &set, nullptr);
+}
+
 Signals::Signals(Loop& loop, std::function<void(int)> heard)
     : Link(loop, read_end(), Kind::kLocal), heard_(std::move(heard)) {
   write_end_ = tell;
@@ -41,10 +53,13 @@
   action.sa_flags = SA_RESTART;
   for (const int number : kHeard) ::sigaction(number, &action, nullptr);
   ::signal(SIGPIPE, SIG_IGN);
+  const sigset_t set = heard_set();
+  ::pthread_sigmask(SIG_UNBLOCK, &set, nullptr);
 }
 
+// Guards the exit against a signal that comes again: it must not end the process before its own end.
 Signals::~Signals() {
-  for (const int number : kHeard) ::signal(number, SIG_DFL);
+  for (const int number : kHeard) ::signal(number, SIG_IGN);
   tell = -1;
   ::close(write_end_);
 }
--- a/src/net/signals.h
+++ b/src/net/signals.h
@@ -9,6 +9,9 @@
 
 namespace firvalve::net {
 
+// Keeps back what Signals hears until there is one: a signal before that would end the process.
+void hold_signals();
+
 // One instance at a time. Also lets writes to ended connections fail with an error instead of a signal.
 class Signals : public Link {
  public:
--- a/src/policy/rules.cpp
+++ b/src/policy/rules.cpp
@@ -69,10 +69,12 @@
 constexpr double kShortExtra = 1.25;    // times the limit for short commands, which free it soon
 constexpr Ms kDebtMost = 2000;          // of its level that may be owed: some long commands' time
 // Line
-constexpr Ms kBeat = 20;            // between looks while commands are in hand: far under any target
-constexpr Ms kEndSlack = 30;        // before the client gives up: a held command ends here at the latest
-constexpr double kTryAnyway = 0.9;  // of its life: predictions err, so each command gets a first chance
-constexpr Ms kRepeatSlack = 200;    // off the window of uniqued commands, for the way there
+constexpr Ms kBeat = 20;             // between looks while commands are in hand: far under any target
+constexpr Ms kEndSlack = 30;         // before the client gives up: a held command ends here at the latest
+constexpr double kTryAnyway = 0.9;   // of its life: predictions err, so each command gets a first chance
+constexpr Ms kRepeatSlack = 200;     // off the window of uniqued commands, for the way there
+constexpr double kReturnPart = 0.5;  // of that window is left to a client that is told it may come again
+constexpr Ms kLeftGrace = 50;        // after its client's half-close: at 100 a closed one counts as gone
 // Bad plan
 constexpr double kBadPlan = 4;         // times the predicted time: past the scatter of estimates
 constexpr double kBlind = 4;           // times the predicted and the usual time without a word of progress
@@ -135,10 +137,18 @@
 
 // ---- Predictions --------------------------------------------------------------------------------
 
+// What outcomes correct: the estimate. Without one, the mean of the costs told; where neither is told, a
+// constant, so that the corrections and the yardstick of the quickest outcomes still say what the profile
+// costs by itself.
+Ms uncorrected(const Profile& p, const Command& c) {
+  return c.asked.estimate > 0 ? c.asked.estimate : p.told && p.mean_work > 0 ? p.mean_work : kUnknownCost;
+}
+bool is_corrected(const Profile& p, const Command& c) { return c.asked.estimate > 0 || !p.told; }
+
 void predict(State& s, Command& c) {
   Profile& p = profile_of(s, c);
-  const Ms base = c.asked.estimate > 0 ? c.asked.estimate : p.mean_work > 0 ? p.mean_work : kUnknownCost;
-  c.cost = std::max(1.0, base * (c.asked.estimate > 0 && p.correction > 0 ? p.correction : 1));
+  const Ms base = uncorrected(p, c);
+  c.cost = std::max(1.0, base * (is_corrected(p, c) && p.correction > 0 ? p.correction : 1));
   c.alone = (p.told ? c.cost * std::max(1.0, p.base) : p.base > 0 ? base * p.base : c.cost) / p.threads;
   blend(p.mean_cost, c.alone * p.threads, kLearn);
   if (s.recent_costs.size() < kRecent) s.recent_costs.push_back(0);
@@ -155,8 +165,8 @@
   if (late && !p.told) return;
   const Ms work = r.work > 0 ? r.work : r.took * p.threads;
   blend(p.mean_work, work, kLearn);
-  const double ratio =
-      c.asked.estimate > 0 ? std::clamp(work / c.asked.estimate, 1 / kRatioMost, kRatioMost) : 0;
+  const double most = c.asked.estimate > 0 ? kRatioMost : kRatioMost * kRatioMost;
+  const double ratio = is_corrected(p, c) ? std::clamp(work / uncorrected(p, c), 1 / most, most) : 0;
   if (ratio > 0) blend(p.correction, ratio, kLearn);
   // A high quantile, not a mean: what falls short spills, and that costs far more than memory lying idle.
   if (r.memory_mb > 0 && c.asked.memory_mb > 0)
@@ -198,17 +208,31 @@
 
 // ---- Guards of the rules ------------------------------------------------------------------------
 
-bool shed_is_true(const State& s, const Command& c) {
+// Guards against a client that is told it may come again once the engines have forgotten its mark: it would
+// run twice. It may cost a uniqued command late in its window the repeat that would still have been dropped.
+bool shed_is_true(const State& s, const Command& c, Ms now) {
   const Profile& p = profile_of(s, c);
-  if (p.effect == Effect::kReplayable) return true;
-  if (p.effect == Effect::kUniqued && p.group == Group::kAll) return true;
-  return !c.may_have_run && !c.out;
+  if (p.effect == Effect::kReplayable || (!c.may_have_run && !c.out)) return true;
+  const Ms back = now + std::max(s.shed_advice, kReturnPart * p.repeat_window);
+  return p.effect == Effect::kUniqued && p.group == Group::kAll &&
+         in_window(p, c.may_have_run ? c.risked_at : c.sent_at, back);
 }
 
-void end(const State& s, Command& c) { c.want = shed_is_true(s, c) ? Want::kShed : Want::kFail; }
+void end(const State& s, Command& c, Ms now) { c.want = shed_is_true(s, c, now) ? Want::kShed : Want::kFail; }
 
-void start_cold(Engine& e, Ms since) {
+bool has_left(const Command& c, Ms now) { return c.left_at > 0 && now > c.left_at + kLeftGrace; }
+
+// Whether no send of it may follow: a further one could run it twice, or nobody may wait for it any more.
+bool is_spent(const State& s, const Command& c, Ms now) {
+  const Profile& p = profile_of(s, c);
+  if (c.sends >= s.most_sends || has_left(c, now)) return true;
+  return c.may_have_run && (p.effect == Effect::kNonReplayable ||
+                            (p.effect == Effect::kUniqued && !in_window(p, c.risked_at, now)));
+}
+
+void start_cold(State& s, Engine& e, Ms since) {
   e.cold_since = since;
+  e.cold_phase = std::ldexp(s.chance.next(), -32);
   e.spent.clear();
 }
 
@@ -235,7 +259,7 @@
     const bool joins = e->life == Life::kGone && l.life == Life::kReady && now > 0;
     e->life = l.life;
     if (l.born > 0 && now - l.born < s.warm_up && e->cold_since < l.born) {
-      start_cold(*e, l.born);
+      start_cold(s, *e, l.born);
       // A new life: what the one before did tells nothing of it.
       e->tries = e->fails = 0;
       e->silent = false;
@@ -319,7 +343,7 @@
   }
   if (r.outcome == Outcome::kOk) {
     // Guards rule 4: an engine silent for long may have started anew before the list says so.
-    if (e.silent && now - e.sign_at > kSilentCold) start_cold(e, now);
+    if (e.silent && now - e.sign_at > kSilentCold) start_cold(s, e, now);
     e.silent = false;
     e.trials = 0;
     // Guards against a long way back: fading counts alone keep an engine out as long again as it failed.
@@ -379,7 +403,7 @@
   s.chance.next();
   s.gateways = std::max(1.0, number(a, "gateways", 1));
   s.gateway_number = number(a, "gateway number");
-  s.most_sends = static_cast<int>(number(a, "sends at most", 1));
+  s.most_sends = std::max(1, static_cast<int>(number(a, "sends at most", 1)));
   s.may_cancel = number(a, "may cancel") > 0;
   s.ranks = number(a, "priorities heeded") > 0;
   s.grants = number(a, "grants heeded") > 0;
@@ -403,6 +427,7 @@
   // Guards against a stall of this gateway itself: what it finds then came at some time before, so neither
   // times taken nor paces of that moment tell of the engines.
   if (s.want_bell > 0 && now > s.want_bell + kStall) s.awake_at = now;
+  if (s.opened_at == 0) s.opened_at = now;
   if (const auto* r = std::get_if<Roster>(&event)) return hear_roster(s, now, *r);
   if (const auto* t = std::get_if<Taken>(&event)) return hear_taken(s, now, *t);
   if (const auto* n = std::get_if<Note>(&event)) return hear_note(s, now, *n);
@@ -410,6 +435,9 @@
   if (const auto* x = std::get_if<Closing>(&event)) s.closes_at = x->at;
   if (const auto* g = std::get_if<ClientGone>(&event))
     if (Command* c = command_of(s, g->id)) c->ended = true;
+  // Guards against sends for a client that has closed: what is out may end and be answered, nothing follows.
+  if (const auto* h = std::get_if<HalfClosed>(&event))
+    if (Command* c = command_of(s, h->id)) c->left_at = h->is ? now : 0;
   if (const auto* p = std::get_if<Place>(&event))
     if (Command* c = command_of(s, p->id)) c->placeless = !p->had;
   if (std::get_if<Bell>(&event) && now >= s.bell_at) s.bell_at = 0;
@@ -531,9 +559,10 @@
          s.budget_free + s.budget_share * static_cast<double>(s.taken.size());
 }
 
-bool may_send(const State& s, const Command& c, const Engine& e, Ms now) {
+// Whether the rules let it run there now, whatever room there is.
+bool may_run_on(const State& s, const Command& c, const Engine& e, Ms now) {
   const Profile& p = profile_of(s, c);
-  if (c.ended || c.out || e.life != Life::kReady || !allowed(p, e) || c.sends >= s.most_sends) return false;
+  if (e.life != Life::kReady || !allowed(p, e) || has_left(c, now)) return false;
   if (!c.may_have_run || p.effect == Effect::kReplayable) return true;
   if (p.effect == Effect::kNonReplayable) return false;
   const Engine& first = s.engines[c.risked_on];
@@ -542,17 +571,28 @@
   return inside && in_window(p, c.risked_at, now);
 }
 
+bool may_send(const State& s, const Command& c, const Engine& e, Ms now) {
+  return !c.ended && !c.out && c.sends < s.most_sends && may_run_on(s, c, e, now);
+}
+
+bool may_begin(const State& s, const CommandId& id, Ms now) {
+  const Command* const c = command_of(s, id);
+  return c && c->out && !c->ended && !c->withdrawn && may_run_on(s, *c, s.engines[c->engine], now);
+}
+
 // The part of its capacity that an engine has by now, by an even ramp from the stated cold share.
 double warmth(const State& s, const Engine& e, Ms now) {
-  if (e.cold_since < 0 || now - e.cold_since > s.warm_up) return 1;
+  if (e.cold_since < 0 || now - e.cold_since >= s.warm_up) return 1;
   return s.cold_share + (1 - s.cold_share) * (now - e.cold_since) / s.warm_up;
 }
 
 // Guards rule 4: whether an engine that warms up may be sent this profile's usual work: this gateway's share,
 // over any window of the stated length, of what a ramp from the cold share allows. A burst right after the
 // start spends the same. Where the share is less than one command: small ones come as seldom as the share
-// pays for them, for their number evens out; larger ones by turns, told by the engine's start and the
-// gateway's number, one at a time.
+// pays for them, the first at a moment drawn within that rest, for their number evens out; larger ones by
+// turns, told by the engine's start and the gateway's number, one at a time. A gateway that has started since
+// the engine did has forgotten what it sent before: it takes that for its share, and lets a turn pass that
+// had begun.
 ColdRoom cold_room(const State& s, Engine& e, Ms work, Ms now) {
   if (e.cold_since < 0 || now - e.cold_since > s.warm_up || s.fall_window <= 0) {
     e.cold_since = -1;
@@ -560,19 +600,25 @@
   }
   const Ms all = kColdPart * s.fall_multiple * warmth(s, e, now) * kCapacity * e.cores * s.fall_window;
   const Ms share = all / s.gateways, rare = s.fall_window * std::max(1.0, work / share);
-  Ms spent = 0, last = -rare;
+  const Ms forgotten = e.cold_since < s.opened_at ? s.fall_window - (now - s.opened_at) : 0;
+  Ms spent = share * std::max(0.0, forgotten / s.fall_window),
+     last = std::max(e.cold_since, s.opened_at) - rare * (1 - e.cold_phase);
   std::erase_if(e.spent, [&](const auto& x) { return x.first < now - std::max(s.warm_up, rare); });
   for (const auto& x : e.spent) {
     if (x.first > now - s.fall_window) spent += x.second;
     last = x.first;
   }
   if (spent + work <= share) return ColdRoom::kOpen;
-  if (work <= kColdSmall * all) return now - last >= rare ? ColdRoom::kOpen : ColdRoom::kShut;
-  const double turns = std::floor(all / work);  // within the window
-  if (turns < 1) return ColdRoom::kShut;
+  if (work <= kColdSmall * all) return work > share && now - last >= rare ? ColdRoom::kOpen : ColdRoom::kShut;
+  if (work > all) return ColdRoom::kShut;
+  Ms largest = work;  // whose turns are long enough for all: the turns of the profiles must not add up
+  for (const Profile& p : s.profiles)
+    if (p.mean_cost <= all) largest = std::max(largest, p.mean_cost);
+  const double turns = std::floor(all / largest);  // within the window
   const double turn = std::floor((now - e.cold_since) * turns / s.fall_window);
   const bool mine = std::fmod(turn + e.id, s.gateways) == s.gateway_number;
-  return mine && last < e.cold_since + turn * s.fall_window / turns ? ColdRoom::kMyTurn : ColdRoom::kShut;
+  const Ms begun = e.cold_since + turn * s.fall_window / turns;
+  return mine && begun > last && begun >= s.opened_at ? ColdRoom::kMyTurn : ColdRoom::kShut;
 }
 
 // Two drawn candidates with room, the one with less own predicted work in flight. -1: none has room.
@@ -681,7 +727,8 @@
     // A uniqued command that stands still has not begun: it, too, may go elsewhere inside its window.
     const bool movable = p.effect == Effect::kUniqued && p.group == Group::kAll && c.stuck &&
                          in_window(p, c.may_have_run ? c.risked_at : c.sent_at, now);
-    if ((p.effect != Effect::kReplayable && !movable) || c.sends >= s.most_sends || left < again) continue;
+    if ((p.effect != Effect::kReplayable && !movable) || c.left_at > 0 || is_spent(s, c, now) || left < again)
+      continue;
     if (c.stuck || (e.silent && overdue(s, c, e, now))) {
       if (!budget_left(s, now)) continue;
       c.want = Want::kWithdraw;
@@ -729,15 +776,14 @@
     const Ms expected = c.alone * s.usual_stretch;
     const bool hopeless = now + std::min(expected, kTryAnyway * (c.asked.gives_up_at - c.taken_at)) >
                           c.asked.gives_up_at - kEndSlack;
-    const bool spent = c.sends >= s.most_sends || (c.may_have_run && p.effect == Effect::kNonReplayable);
-    if (hopeless || spent) {
-      end(s, c);
+    if (hopeless || is_spent(s, c, now)) {
+      end(s, c, now);
       continue;
     }
     // Guards an engine against holding a result that nobody has room for: without a place it only waits.
     if (c.placeless) continue;
     if (c.heavy && pool_overloaded) {
-      if (now - c.taken_at >= kHeavyHold) end(s, c);
+      if (now - c.taken_at >= kHeavyHold) end(s, c, now);
       continue;
     }
     if (now < c.rest_until || !has_turn(s, c, now) || (c.sends > 0 && !budget_left(s, now))) continue;
--- a/src/policy/rules.h
+++ b/src/policy/rules.h
@@ -75,6 +75,12 @@
 struct ClientGone {
   CommandId id;
 };
+// Its client has ended its stream (a half-close): it may still read, or have closed altogether, which looks
+// the same. Not so: somebody waits for it again.
+struct HalfClosed {
+  CommandId id;
+  bool is = true;
+};
 struct Bell {
   uint64_t ref = 0;
 };
@@ -86,7 +92,8 @@
   CommandId id;
   bool had = true;
 };
-using Event = std::variant<Roster, Taken, Note, Settled, Probed, ClientGone, Bell, Closing, Place>;
+using Event =
+    std::variant<Roster, Taken, Note, Settled, Probed, ClientGone, HalfClosed, Bell, Closing, Place>;
 
 // ---- Actions ------------------------------------------------------------------------------------
 
@@ -164,7 +171,8 @@
   double closed_from_mb = 0;
   int closed_doors = 0;  // sends in a row that never began there: full, or no connection came up
   // Its warmth:
-  Ms cold_since = -1;                    // below 0: warm
+  Ms cold_since = -1;     // below 0: warm
+  double cold_phase = 0;  // 0 to 1: where in its rests the gateway sends the first small command
   std::vector<std::pair<Ms, Ms>> spent;  // while cold: when and how much work was sent
   std::array<int64_t, 4> tables{-1, -1, -1, -1};
 };
@@ -194,6 +202,7 @@
        stuck = false;              // stood still at some time; stands still behind a load
   int withdrawals = 0, moves = 0;  // for a bad plan; since it stood still
   Ms rest_until = 0;               // between moves
+  Ms left_at = 0;                  // its client ended its stream then; 0: it did not
   bool may_have_run = false;
   int risked_on = -1;  // the engine and time of the first send that may have run
   Ms risked_at = 0;
@@ -254,6 +263,7 @@
   Ms pool_counted_at = 0;
   Ms bell_at = 0, want_bell = 0, awake_at = -1;  // awake: since a stall of this gateway
   Ms closes_at = 0;                              // this gateway's own end; 0: none is known
+  Ms opened_at = 0;                              // its start: the first event
   // Read from the articles once, since every command needs them:
   double gateways = 1, gateway_number = 0;
   int most_sends = 0;
@@ -274,7 +284,8 @@
 Engine& engine_of(State& s, uint32_t id);  // a new one takes its place by id
 void forget_gone(State& s);  // once they are more than the others: those that no command in hand refers to
 Command* command_of(State& s, const CommandId& id);  // null: not in hand
-Command& new_place(State& s);                        // in the slab, the last of those in hand
+const Command* command_of(const State& s, const CommandId& id);
+Command& new_place(State& s);  // in the slab, the last of those in hand
 
 // ---- The module ---------------------------------------------------------------------------------
 
@@ -290,6 +301,9 @@
 void review_out(State& s, Ms now);
 void review_line(State& s, Ms now);
 bool may_send(const State& s, const Command& c, const Engine& e, Ms now);
+// Asked right before the start of the send that is out is written: connections come up late, and meanwhile
+// its engine may have begun to drain, its client have gone, its window have run out.
+bool may_begin(const State& s, const CommandId& id, Ms now);
 bool stands_still(const State& s, const Command& c, const Engine& e);
 bool has_turn(const State& s, const Command& c, Ms now);
 bool budget_left(State& s, Ms now);
--- a/src/policy/state.cpp
+++ b/src/policy/state.cpp
@@ -1,5 +1,6 @@
 // The containers of the state and the reading of articles. Nothing is decided here.
 #include <algorithm>
+#include <utility>
 
 #include "policy/rules.h"
 
@@ -79,12 +80,16 @@
   }
 }
 
-Command* command_of(State& s, const CommandId& id) {
+const Command* command_of(const State& s, const CommandId& id) {
   for (const int place : s.live)
     if (s.slab[place].asked.id == id) return &s.slab[place];
   return nullptr;
 }
 
+Command* command_of(State& s, const CommandId& id) {
+  return const_cast<Command*>(command_of(std::as_const(s), id));
+}
+
 Command& new_place(State& s) {
   int place = static_cast<int>(s.slab.size());
   if (s.free_places.empty()) {
--- a/src/proto/jsonrpc/rpc.cpp
+++ b/src/proto/jsonrpc/rpc.cpp
@@ -104,12 +104,14 @@
   if (!put_text(message, "jsonrpc", version) || version != "2.0") return invalid(call, -32600, "not 2.0");
   if (!put_text(message, "method", call.profile)) return invalid(call, -32600, "no method");
   const Value* params = member(message, "params");
-  if (call.profile == "heartbeat") {
+  // With a body they are commands: a deployment may have profiles of these names.
+  const bool has_body = params && params->IsObject() && member(*params, "bytes");
+  if (call.profile == "heartbeat" && !has_body) {
     call.kind = RpcCall::Kind::kHeartbeat;
     return call;
   }
   if (!params || !params->IsObject()) return invalid(call, -32602, "no params");
-  if (call.profile == "revoke") {
+  if (call.profile == "revoke" && !has_body) {
     call.kind = RpcCall::Kind::kRevoke;
     put_text(*params, "req", call.command);
     if (const Value* id = member(*params, "id"); id && id->IsInt64()) call.revoked = id->GetInt64();
--- a/src/proto/term.h
+++ b/src/proto/term.h
@@ -15,4 +15,9 @@
   return std::min(longest_timeout, kKillWaitMost) + kKillSlack - kAnswerSlack;
 }
 
+// What has not been had by then is not waited for, as of a client that does not read.
+inline Ms leaving_end(Ms longest_timeout) {
+  return std::max(kComingOn, answers_end(longest_timeout) + kAnswerSlack / 2);
+}
+
 }  // namespace firvalve::proto
--- a/tests/core/core_test.cpp
+++ b/tests/core/core_test.cpp
@@ -108,6 +108,59 @@
   EXPECT_EQ(core.in_hand(), 0u);
 }
 
+// A half-close: for a moment it is as any other, then nothing follows and it is told so.
+TEST_F(CoreTest, AHalfClosedClientsCommandIsSentAtOnceOrNeverAndAnswered) {
+  take(1);
+  core.half_closed(1000, 1);
+  core.turn(1005);
+  EXPECT_TRUE(heard.finals.empty());  // no engine yet; its client is not known to have gone
+  core.turn(1060);
+  EXPECT_EQ(heard.finals, std::vector<std::string>{"shed 1"});
+  list("s-1");
+  core.turn(1100);
+  EXPECT_TRUE(heard.started.empty());
+  take(2, "000000000000000b");
+  core.half_closed(1110, 2);
+  core.turn(1110);
+  ASSERT_EQ(heard.started.size(), 1u);
+  EXPECT_TRUE(core.may_begin(1120, 1));
+  EXPECT_FALSE(core.may_begin(1170, 1));  // its connection came up too late
+  core.ended(1200, 1, Outcome::kFailed);
+  core.turn(1200);
+  EXPECT_EQ(heard.started.size(), 1u);
+  EXPECT_EQ(heard.finals.back(), "shed 2");  // replayable: trying again is harmless
+}
+
+TEST_F(CoreTest, AStartNotYetWrittenIsLookedAtAgain) {
+  list("s-1");
+  take(1);
+  core.turn(1000);
+  EXPECT_TRUE(core.may_begin(1010, 1));
+  EXPECT_FALSE(core.may_begin(5000, 1));  // its client waits no longer
+  list("s-1", Life::kDraining);
+  EXPECT_FALSE(core.may_begin(1020, 1));
+  list("s-1");
+  EXPECT_TRUE(core.may_begin(1030, 1));
+  core.client_gone(1040, 1);
+  EXPECT_FALSE(core.may_begin(1040, 1));
+  EXPECT_FALSE(core.may_begin(1040, 7));  // no send of ours
+}
+
+// Other customers' settings tell less: then any figure may be a client's.
+TEST(CoreSettings, WithoutMachinesOrTimesOrMemoryCommandsAreTaken) {
+  Heard heard;
+  Counters counters;
+  Core core({{"profile.0.name", std::string("quick")}, {"profile.0.effect", std::string("replayable")}}, 1,
+            heard, heard, counters, [](const std::string&, const std::string&) {});
+  Asked asked;
+  asked.command = "9b1f03aa5c7e2d41";
+  asked.profile = "quick";
+  asked.timeout = 4000;
+  asked.estimate = 100;
+  asked.memory_mb = 64;
+  EXPECT_EQ(core.take_in(1000, 1, std::move(asked)), TakeIn::kTaken);
+}
+
 TEST_F(CoreTest, WhatCannotBeTakenInIsTold) {
   EXPECT_EQ(take(1, "9b1f03aa5c7e2d41", "odd"), TakeIn::kUnknownProfile);
   EXPECT_EQ(take(2), TakeIn::kTaken);
@@ -204,6 +257,18 @@
   EXPECT_EQ(heard.started.size(), 2u);
 }
 
+TEST_F(CoreMarks, ARepeatThatJoinsKeepsAHalfClosedCommandGoing) {
+  list("s-1", Life::kDraining);
+  EXPECT_EQ(take(1, kFirst), TakeIn::kTaken);
+  core.half_closed(1000, 1);
+  EXPECT_EQ(repeat(2, kSecond, kFirst), TakeIn::kTaken);
+  core.turn(1100);
+  EXPECT_TRUE(heard.finals.empty());
+  core.client_gone(1110, 2);  // the one that was sure to be there
+  core.turn(1200);
+  EXPECT_EQ(heard.finals, std::vector<std::string>{"shed 1"});
+}
+
 TEST_F(CoreMarks, TheCommandEndsWithTheLastClientThatWaitsForIt) {
   list("s-1");
   take(1, kFirst);
--- a/tests/policy/rules_test.cpp
+++ b/tests/policy/rules_test.cpp
@@ -1,5 +1,7 @@
 #include "policy/rules.h"
 
+#include <cmath>
+
 #include "policy/helpers.h"
 
 namespace firvalve {
@@ -102,6 +104,40 @@
   EXPECT_FALSE(may_send(s, c, s.engines[0], 5050));
 }
 
+// A refusal says that trying again is harmless: so it is while the engines will still know the mark then.
+TEST(Effects, UniquedThatMayHaveRunIsShedEarlyInItsWindowAndFailsLater) {
+  Profile p = profile(Effect::kUniqued);
+  p.repeat_window = 4000;
+  for (const auto& [now, want] : {std::pair<Ms, Want>{1000, Want::kShed}, {2500, Want::kFail}}) {
+    State s = state_with(1, {p});
+    Command& c = add_command(s);
+    c.sends = s.most_sends;
+    c.may_have_run = true;
+    c.risked_on = 0;
+    c.risked_at = 100;
+    review_line(s, now);
+    EXPECT_EQ(c.want, want) << now;
+  }
+}
+
+TEST(Effects, UniquedPastItsWindowEndsAtOnce) {
+  Profile p = profile(Effect::kUniqued);
+  p.repeat_window = 1000;
+  State s = state_with(1, {p});
+  Command& c = add_command(s);
+  c.sends = 1;
+  c.may_have_run = true;
+  c.risked_on = 0;
+  c.risked_at = 100;
+  review_line(s, 1000);
+  EXPECT_EQ(c.want, Want::kFail);
+  c.want = Want::kOut;
+  c.out = true;
+  c.engine = c.want_engine = 0;
+  EXPECT_TRUE(may_begin(s, c.asked.id, 800));
+  EXPECT_FALSE(may_begin(s, c.asked.id, 1000));  // its connection came up too late
+}
+
 TEST(Effects, NeverTwoSendsAtOnceNorPastTheLimit) {
   State s = state_with(1, {profile(Effect::kReplayable)});
   Command& c = add_command(s);
@@ -183,6 +219,62 @@
   EXPECT_EQ(cold_room(s, s.engines[0], 50, 3000), ColdRoom::kShut);
 }
 
+// Rule 4 over the whole fleet: whatever N gateways want to send an engine that started, unevenly and some of
+// them restarted meanwhile, what they are let send over any window stays under what the settings allow, but
+// for chance.
+TEST(ColdEngine, TheSumOfAllGatewaysHolds) {
+  constexpr Ms kStep = 20, kWindow = 2000, kWarm = 10000;
+  const std::array<Ms, 3> works{180, 2800, 5400};
+  const std::array<double, 3> shares{0.78, 0.16, 0.06};
+  double mean = 0;
+  for (size_t i = 0; i < works.size(); ++i) mean += works[i] * shares[i];
+  for (const int gateways : {1, 6, 20, 30, 300, 1024}) {
+    for (const uint64_t seed : {1, 2, 3}) {
+      Pcg chance{seed};
+      const auto opened = [&](int number, Ms now) {
+        State s;
+        s.chance.state = (static_cast<uint64_t>(chance.next()) << 32) | chance.next();
+        s.articles = {{"cores.", 12.0}};
+        for (const Ms work : works) s.profiles.emplace_back().mean_cost = work;
+        s.gateways = gateways;
+        s.gateway_number = number;
+        s.warm_up = kWarm;
+        s.fall_window = kWindow;
+        s.fall_multiple = 3;
+        s.cold_share = 0.4;
+        Listing cold;
+        cold.engine = 10;
+        cold.born = 1000;
+        hear(s, now, Roster{true, {cold}});
+        return s;
+      };
+      std::vector<State> all;
+      for (int i = 0; i < gateways; ++i) all.push_back(opened(i, 1100));
+      std::vector<std::pair<Ms, Ms>> sent;
+      for (Ms now = 1100; now < 1000 + kWarm; now += kStep) {
+        for (int i = 0; i < gateways; ++i) {
+          if (chance.next() % 1000 == 0) all[static_cast<size_t>(i)] = opened(i, now);  // restarted
+          for (size_t k = 0; k < works.size(); ++k) {
+            // Uneven: the busiest always have one waiting, the quietest hardly ever.
+            if (chance.next() % static_cast<uint32_t>(1 + i % 7 * 3) > 0) continue;
+            State& s = all[static_cast<size_t>(i)];
+            if (cold_room(s, s.engines[0], works[k], now) == ColdRoom::kShut) continue;
+            s.engines[0].spent.push_back({now, works[k]});
+            sent.push_back({now, works[k]});
+          }
+        }
+        Ms sum = 0;
+        for (const auto& [at, work] : sent)
+          if (at > now - kWindow) sum += work;
+        const double allowed = 3 * warmth(all[0], all[0].engines[0], now) * 0.85 * 12 * kWindow / mean;
+        EXPECT_LE(sum / mean, allowed + 2 * std::sqrt(allowed) + 2)
+            << gateways << " gateways, seed " << seed << ", " << now - 1000 << " ms after the start";
+        if (HasFailure()) return;
+      }
+    }
+  }
+}
+
 TEST(ColdEngine, ANewLifeClearsWhatTheLastOneDid) {
   State s = with_a_cold_engine(1);
   s.engines[0].fails = s.engines[0].tries = 9;
