--- a/tests/proto/proto_test.cpp
+++ b/tests/proto/proto_test.cpp
@@ -70,6 +70,16 @@
   EXPECT_EQ(call.statement, "select 1");
 }
 
+// Other customers' profiles may bear the names of methods: what has a body is a command.
+TEST(RpcCalls, AProfileNamedAsAMethodIsACommand) {
+  for (const std::string name : {"heartbeat", "revoke", "page", "release", "merge", "propose", "a.b"}) {
+    std::string body = kBody;
+    const RpcCall call = read(body.replace(body.find("report"), 6, name));
+    EXPECT_EQ(call.kind, RpcCall::Kind::kCommand) << name;
+    EXPECT_EQ(call.timeout, 1500) << name;
+  }
+}
+
 TEST(RpcCalls, WrongFieldsGetOneErrorThatIsNoShed) {
   for (
       const char* body :
