--- a/tests/gateway/endings_test.cpp
+++ b/tests/gateway/endings_test.cpp
@@ -313,6 +313,28 @@
       testing::ExitedWithCode(0), "");
 }
 
+// What a gateway knows at its start may be out of date: however long a connection may take, the bus is asked
+// at once.
+TEST_F(Endings, TheBusIsAskedAtOnceWhateverTheConnectTimeOut) {
+  std::string config =
+      with(fleet_.config(address_), R"("dial_timeout":250000000)", R"("dial_timeout":3600000000000)");
+  start(with(config, R"("settings":{)", R"("settings":{"rules":{"stop_sending_within":250000000},)"));
+  EXPECT_TRUE(soon([&] { return fleet_.bus().asked_from().size() == 1; }));
+}
+
+// Another customer's times: an idle close under our own slack, a connect time-out of nothing.
+TEST_F(Endings, ShortTimesOfTheSettingsLeaveConnectionsUsable) {
+  std::string config =
+      with(fleet_.config(address_), R"("conn_idle":15000000000)", R"("conn_idle":1900000000)");
+  start(with(config, R"("dial_timeout":250000000)", R"("dial_timeout":0)"));
+  Client client(address_);
+  for (int id = 1; id <= 3; ++id) {
+    client.send(command(id, "select 1"));
+    EXPECT_TRUE(has(client.answer(), R"("result")"));
+  }
+  EXPECT_TRUE(counted("engine connections: 1;"));
+}
+
 // Idle clients in every descriptor, and no event bus since the start: a health check is answered and a
 // command served, and the bus is followed once it is there.
 TEST_F(Endings, IdleClientsMayFillTheDescriptorsWhileDiscoveryIsDown) {
