One place opens a call on a connection; tests share what they say as clients

Need: reading the change again: five copies of the two lines that enter an open call, and the new test file had copied the command builder of gateway_test.cpp.

Change: Connection::opened; tests/gateway/speaking.h. Behaviour and assertions as they were.

--- a/src/net/clients.cpp
+++ b/src/net/clients.cpp
@@ -132,6 +132,11 @@
 
  private:
   void hear(std::span<char> body);
+  void opened(CallRef ref, int64_t id, std::string_view key = {}) {
+    open_calls[id] = ref;
+    owner_.open_[ref] = {this, id, std::string(key)};
+  }
+
   Clients& owner_;
   proto::RpcFrames frames_;
   std::string peer_;     // the client's address, where results count against somebody's share
@@ -179,8 +184,7 @@
         }
         if (open_calls.count(call.id)) return break_off("number in use");
         const CallRef ref = ++owner_.last_call_;
-        open_calls[call.id] = ref;
-        owner_.open_[ref] = {this, call.id, {}};
+        opened(ref, call.id);
         owner_.fleet_->bulletin(
             loop_.now(), call.profile, call.name, call.statement, call.timeout,
             [&owner = owner_, ref](const FleetCalls::Told& told) { owner.reply(ref, told); });
@@ -216,19 +220,16 @@
       asked.memory_mb = call.memory_mb;
       const CallRef ref = ++owner_.last_call_;
       if (call.kind == proto::RpcCall::Kind::kMerge) {
-        open_calls[call.id] = ref;
-        owner_.open_[ref] = {this, call.id, {}};
+        opened(ref, call.id);
         owner_.fleet_->merge(loop_.now(), ref, call.name, std::move(asked));
         break;
       }
       switch (owner_.core_->take_in(loop_.now(), ref, std::move(asked))) {
         case TakeIn::kTaken:
-          open_calls[call.id] = ref;
-          owner_.open_[ref] = {this, call.id, std::string(call.key)};
+          opened(ref, call.id, call.key);
           break;
         case TakeIn::kFound:
-          open_calls[call.id] = ref;
-          owner_.open_[ref] = {this, call.id, std::string(call.key)};
+          opened(ref, call.id, call.key);
           owner_.answer_paged(ref, owner_.core_->found());
           break;
         case TakeIn::kUnknownProfile:
@@ -265,8 +266,7 @@
       }
       if (open_calls.count(call.id)) return break_off("number in use");
       const CallRef ref = ++owner_.last_call_;
-      open_calls[call.id] = ref;
-      owner_.open_[ref] = {this, call.id, {}};
+      opened(ref, call.id);
       owner_.counters_.add("pages asked for");
       owner_.shelf_->read(loop_.now(), call.token, call.key, call.page,
                           [&owner = owner_, ref, page = call.page](Ms, Shelf::Read what,
--- a/tests/gateway/endings_test.cpp
+++ b/tests/gateway/endings_test.cpp
@@ -20,8 +20,8 @@
 #include <thread>
 #include <vector>
 
+#include "gateway/speaking.h"
 #include "net/signals.h"
-#include "proto/base64.h"
 #include "soon.h"
 #include "standin/fleet.h"
 #include "standin/process.h"
@@ -81,20 +81,8 @@
   StreamSocket socket_;
 };
 
-std::string command(int id, const std::string& statement, int timeout = 4000,
-                    const char* profile = "lookup") {
-  std::string bytes;
-  proto::append_base64(bytes, statement);
-  char req[17];
-  std::snprintf(req, sizeof req, "%016x", id);
-  return R"({"jsonrpc":"2.0","id":)" + std::to_string(id) + R"(,"method":")" + profile +
-         R"(","params":{"req":")" + req + R"(","timeout":)" + std::to_string(timeout) +
-         R"(,"ms":100,"mem":10,"bytes":")" + bytes + R"("}})";
-}
 constexpr const char* kHeartbeat = R"({"jsonrpc":"2.0","id":9,"method":"heartbeat","params":{}})";
 
-bool has(const std::string& text, const std::string& part) { return text.find(part) != std::string::npos; }
-
 std::string with(std::string config, const std::string& from, const std::string& to) {
   const size_t at = config.find(from);
   return at == std::string::npos ? config : config.replace(at, from.size(), to);
--- a/tests/gateway/gateway_test.cpp
+++ b/tests/gateway/gateway_test.cpp
@@ -10,6 +10,7 @@
 #include <fstream>
 #include <memory>
 
+#include "gateway/speaking.h"
 #include "proto/base64.h"
 #include "soon.h"
 #include "standin/fleet.h"
@@ -69,26 +70,12 @@
     const std::string message = "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
     client.sendBytes(message.data(), static_cast<int>(message.size()));
   }
-  static std::string command(int id, const std::string& statement, int timeout = 4000,
-                             const char* profile = "lookup", const std::string& more = {}) {
-    std::string bytes;
-    proto::append_base64(bytes, statement);
-    char req[17];
-    std::snprintf(req, sizeof req, "%016x", id);
-    return R"({"jsonrpc":"2.0","id":)" + std::to_string(id) + R"(,"method":")" + profile +
-           R"(","params":{"req":")" + req + R"(",)" + more + R"("timeout":)" + std::to_string(timeout) +
-           R"(,"ms":100,"mem":10,"bytes":")" + bytes + R"("}})";
-  }
   std::string ask(const std::string& body) {
     StreamSocket client = connect();
     send(client, body);
     std::string held;
     return read_message(client, held);
   }
-  static bool has(const std::string& text, const std::string& part) {
-    return text.find(part) != std::string::npos;
-  }
-
   standin::Fleet fleet_{1};
   standin::Engine& engine_ = fleet_.engine(0);
   std::string address_ = standin::free_address(), config_;
