--- a/src/lab/main.cpp
+++ b/src/lab/main.cpp
@@ -1,6 +1,7 @@
 // firvalve-lab: the project's laboratory. None of it is linked into the gateway.
 #include "lab/load.h"
 #include "lab/run.h"
+#include "lab/scale/command.h"
 
 int main(int argc, char** argv) {
   CLI::App app("The laboratory of firvalve.", "firvalve-lab");
@@ -8,6 +9,7 @@
   app.require_subcommand(1);
   firvalve::lab::add_load(app, exit_code);
   firvalve::lab::add_run(app, exit_code);
+  firvalve::lab::add_scale(app, exit_code);
   try {
     app.parse(argc, argv);
   } catch (const CLI::ParseError& e) {
