A test's name is formatted, not added up: GCC 12 warned of an overlap that there is not

Need: no warnings. Seen: -Wrestrict at an inserted literal in tests/fleet/processes_test.cpp, a known false report of GCC 12 for operator+ of a literal and a temporary. Change: fmt::format. Result: the package builds without a warning.

--- a/tests/fleet/processes_test.cpp
+++ b/tests/fleet/processes_test.cpp
@@ -2,6 +2,7 @@
 // failure, and each ends before the judge, who knows nothing of the program's code: never two that may act
 // for one duty, epochs that only grow, a named load begun once at most.
 #include <Poco/Net/StreamSocket.h>
+#include <fmt/format.h>
 #include <gtest/gtest.h>
 #include <signal.h>
 #include <sys/resource.h>
@@ -35,7 +36,7 @@
     if (!crowd_) return;
     lab::FleetHistory history;
     for (size_t i = 0; i < crowd_->size(); ++i)
-      lab::read_spans("g" + std::to_string(i), crowd_->log(i), history);
+      lab::read_spans(fmt::format("g{}", i), crowd_->log(i), history);
     for (const lab::FleetBreach& b : lab::judge(history)) ADD_FAILURE() << b.rule << ": " << b.text;
     EXPECT_GT(history.held.size(), 0u);
     for (const auto& [statement, most] : once_)
