What a client's message asks for is answered by a function each; JSON-RPC codes have names

Need: Clients::hear had grown to 120 lines with three copies of the check for room and a free number. Change: one function a kind of call, one check (may_open), named codes in rpc.h. No behaviour moved: the 106 tests of gateway, endings, processes, spool and protocol pass as they were.

--- a/src/net/clients.cpp
+++ b/src/net/clients.cpp
@@ -132,6 +132,15 @@
 
  private:
   void hear(std::span<char> body);
+  // Each adds to `out` what is answered at once.
+  void refuse(const proto::RpcCall& call, std::string& out, int code, std::string_view why);
+  bool may_open(const proto::RpcCall& call, std::string& out);
+  void revoke(const proto::RpcCall& call);
+  bool names_fleet_call(const proto::RpcCall& call, std::string& out);
+  void ask_bulletin(const proto::RpcCall& call, std::string& out);
+  void take_command(proto::RpcCall& call, std::string& out);
+  void release_result(const proto::RpcCall& call, std::string& out);
+  void read_page(const proto::RpcCall& call, std::string& out);
   void opened(CallRef ref, int64_t id, std::string_view key = {}) {
     open_calls[id] = ref;
     owner_.open_[ref] = {this, id, std::string(key)};
@@ -148,146 +157,156 @@
 void Clients::Connection::hear(std::span<char> body) {
   proto::RpcCall call = proto::read_call(body);
   std::string out;
-  const auto refuse = [&](int code, std::string_view why) {
-    owner_.counters_.add("calls not understood");
-    proto::append_error(out, call.id, call.has_id, code, why);
-  };
   switch (call.kind) {
     case proto::RpcCall::Kind::kHeartbeat:
       if (call.has_id) proto::append_healthy(out, call.id, true, owner_.marks_);
       break;
-    case proto::RpcCall::Kind::kRevoke: {
-      const auto at = open_calls.find(call.revoked);
-      const CallRef ref = at != open_calls.end() ? at->second : owner_.core_->call_of(call.command);
-      // Only what came over this connection: nobody takes back another's command.
-      const auto open = owner_.open_.find(ref);
-      int64_t id = 0;
-      if (open == owner_.open_.end() || open->second.connection != this) break;
-      owner_.close_call(ref, id);
-      owner_.gone(loop_.now(), ref);
+    case proto::RpcCall::Kind::kRevoke:
+      revoke(call);
       break;
-    }
-    case proto::RpcCall::Kind::kMerge:
     case proto::RpcCall::Kind::kBulletin:
-      if (!owner_.fleet_) {
-        refuse(-32601, "no such method");
-        break;
-      }
-      if (call.name.empty() || call.name.size() > kFleetNameMost) {
-        refuse(-32602, "name is not 1 to 128 bytes");
-        break;
-      }
-      if (call.kind == proto::RpcCall::Kind::kBulletin) {
-        if (open_calls.size() >= proto::kRpcOpenMost) {
-          refuse(-32600, "too many open requests");
-          break;
-        }
-        if (open_calls.count(call.id)) return break_off("number in use");
-        const CallRef ref = ++owner_.last_call_;
-        opened(ref, call.id);
-        owner_.fleet_->bulletin(
-            loop_.now(), call.profile, call.name, call.statement, call.timeout,
-            [&owner = owner_, ref](const FleetCalls::Told& told) { owner.reply(ref, told); });
-        break;
-      }
-      [[fallthrough]];
-    case proto::RpcCall::Kind::kCommand: {
-      if (open_calls.size() >= proto::kRpcOpenMost) {
-        refuse(-32600, "too many open requests");
-        break;
-      }
-      // Two calls under one number: no answer would tell which one it is for.
-      if (open_calls.count(call.id)) return break_off("number in use");
-      Asked asked;
-      asked.command = call.command;
-      asked.profile = call.profile;
-      asked.tables = proto::table_group(call.statement);
-      asked.statement = std::move(call.statement);
-      if (owner_.marks_ && !call.first.empty()) {
-        if (!proto::is_command_id(call.first)) {
-          refuse(-32602, "first is not 16 hex digits");
-          break;
-        }
-        asked.first = call.first;
-      }
-      if (owner_.shelf_ && call.paged) {
-        asked.paged = true;
-        asked.key = call.key;
-        asked.owner = call.key.empty() ? std::string_view(peer_) : call.key;
-      }
-      asked.timeout = call.timeout;
-      asked.estimate = call.estimate;
-      asked.memory_mb = call.memory_mb;
-      const CallRef ref = ++owner_.last_call_;
-      if (call.kind == proto::RpcCall::Kind::kMerge) {
-        opened(ref, call.id);
-        owner_.fleet_->merge(loop_.now(), ref, call.name, std::move(asked));
-        break;
-      }
-      switch (owner_.core_->take_in(loop_.now(), ref, std::move(asked))) {
-        case TakeIn::kTaken:
-          opened(ref, call.id, call.key);
-          break;
-        case TakeIn::kFound:
-          opened(ref, call.id, call.key);
-          owner_.answer_paged(ref, owner_.core_->found());
-          break;
-        case TakeIn::kUnknownProfile:
-          refuse(-32601, "no such method");
-          break;
-        case TakeIn::kOutOfRange:
-          refuse(-32602, "a figure is out of range");
-          break;
-        case TakeIn::kNoRoom:
-          owner_.counters_.add("calls not taken for want of memory");
-          proto::append_error(out, call.id, true, proto::kRpcFailed, "failed");
-          break;
-        case TakeIn::kNotNew:
-          refuse(-32602, "req is in hand already");
-          break;
-      }
+      ask_bulletin(call, out);
+      break;
+    case proto::RpcCall::Kind::kMerge:
+      if (names_fleet_call(call, out)) take_command(call, out);
+      break;
+    case proto::RpcCall::Kind::kCommand:
+      take_command(call, out);
       break;
-    }
     case proto::RpcCall::Kind::kPage:
-    case proto::RpcCall::Kind::kRelease: {
-      if (!owner_.shelf_) {
-        refuse(-32601, "no such method");
-        break;
-      }
-      if (call.kind == proto::RpcCall::Kind::kRelease) {
-        owner_.shelf_->release(loop_.now(), call.token, call.key)
-            ? proto::append_released(out, call.id)
-            : proto::append_error(out, call.id, true, proto::kRpcGone, "gone");
-        break;
-      }
-      if (open_calls.size() >= proto::kRpcOpenMost) {
-        refuse(-32600, "too many open requests");
-        break;
-      }
-      if (open_calls.count(call.id)) return break_off("number in use");
-      const CallRef ref = ++owner_.last_call_;
-      opened(ref, call.id);
-      owner_.counters_.add("pages asked for");
-      owner_.shelf_->read(loop_.now(), call.token, call.key, call.page,
-                          [&owner = owner_, ref, page = call.page](Ms, Shelf::Read what,
-                                                                   std::string_view rows, uint64_t pages) {
-                            owner.reply(ref, [&](std::string& text, int64_t id) {
-                              if (what == Shelf::Read::kRows)
-                                proto::append_page(text, id, page, pages, rows);
-                              else if (what == Shelf::Read::kGone)
-                                proto::append_error(text, id, true, proto::kRpcGone, "gone");
-                              else
-                                proto::append_error(text, id, true, proto::kRpcNoSuchPage, "no such page");
-                            });
-                          });
+      read_page(call, out);
+      break;
+    case proto::RpcCall::Kind::kRelease:
+      release_result(call, out);
       break;
-    }
     default:
-      refuse(call.code, call.why);
+      refuse(call, out, call.code, call.why);
   }
   if (!out.empty()) write(out);
 }
 
+void Clients::Connection::refuse(const proto::RpcCall& call, std::string& out, int code,
+                                 std::string_view why) {
+  owner_.counters_.add("calls not understood");
+  proto::append_error(out, call.id, call.has_id, code, why);
+}
+
+// Two calls under one number end the connection: no answer would tell which one it is for.
+bool Clients::Connection::may_open(const proto::RpcCall& call, std::string& out) {
+  if (open_calls.size() >= proto::kRpcOpenMost) {
+    refuse(call, out, proto::kRpcBadRequest, "too many open requests");
+    return false;
+  }
+  if (open_calls.count(call.id)) {
+    break_off("number in use");
+    return false;
+  }
+  return true;
+}
+
+// Only what came over this connection: nobody takes back another's command.
+void Clients::Connection::revoke(const proto::RpcCall& call) {
+  const auto at = open_calls.find(call.revoked);
+  const CallRef ref = at != open_calls.end() ? at->second : owner_.core_->call_of(call.command);
+  const auto open = owner_.open_.find(ref);
+  if (open == owner_.open_.end() || open->second.connection != this) return;
+  int64_t id = 0;
+  owner_.close_call(ref, id);
+  owner_.gone(loop_.now(), ref);
+}
+
+bool Clients::Connection::names_fleet_call(const proto::RpcCall& call, std::string& out) {
+  if (!owner_.fleet_) {
+    refuse(call, out, proto::kRpcNoMethod, "no such method");
+    return false;
+  }
+  if (call.name.empty() || call.name.size() > kFleetNameMost) {
+    refuse(call, out, proto::kRpcBadParams, "name is not 1 to 128 bytes");
+    return false;
+  }
+  return true;
+}
+
+void Clients::Connection::ask_bulletin(const proto::RpcCall& call, std::string& out) {
+  if (!names_fleet_call(call, out) || !may_open(call, out)) return;
+  const CallRef ref = ++owner_.last_call_;
+  opened(ref, call.id);
+  owner_.fleet_->bulletin(loop_.now(), call.profile, call.name, call.statement, call.timeout,
+                          [&owner = owner_, ref](const FleetCalls::Told& told) { owner.reply(ref, told); });
+}
+
+void Clients::Connection::take_command(proto::RpcCall& call, std::string& out) {
+  if (!may_open(call, out)) return;
+  Asked asked;
+  asked.command = call.command;
+  asked.profile = call.profile;
+  asked.tables = proto::table_group(call.statement);
+  asked.statement = std::move(call.statement);
+  if (owner_.marks_ && !call.first.empty()) {
+    if (!proto::is_command_id(call.first))
+      return refuse(call, out, proto::kRpcBadParams, "first is not 16 hex digits");
+    asked.first = call.first;
+  }
+  if (owner_.shelf_ && call.paged) {
+    asked.paged = true;
+    asked.key = call.key;
+    asked.owner = call.key.empty() ? std::string_view(peer_) : call.key;
+  }
+  asked.timeout = call.timeout;
+  asked.estimate = call.estimate;
+  asked.memory_mb = call.memory_mb;
+  const CallRef ref = ++owner_.last_call_;
+  if (call.kind == proto::RpcCall::Kind::kMerge) {
+    opened(ref, call.id);
+    owner_.fleet_->merge(loop_.now(), ref, call.name, std::move(asked));
+    return;
+  }
+  switch (owner_.core_->take_in(loop_.now(), ref, std::move(asked))) {
+    case TakeIn::kTaken:
+      return opened(ref, call.id, call.key);
+    case TakeIn::kFound:
+      opened(ref, call.id, call.key);
+      return owner_.answer_paged(ref, owner_.core_->found());
+    case TakeIn::kUnknownProfile:
+      return refuse(call, out, proto::kRpcNoMethod, "no such method");
+    case TakeIn::kOutOfRange:
+      return refuse(call, out, proto::kRpcBadParams, "a figure is out of range");
+    case TakeIn::kNoRoom:
+      owner_.counters_.add("calls not taken for want of memory");
+      return proto::append_error(out, call.id, true, proto::kRpcFailed, "failed");
+    case TakeIn::kNotNew:
+      return refuse(call, out, proto::kRpcBadParams, "req is in hand already");
+  }
+}
+
+void Clients::Connection::release_result(const proto::RpcCall& call, std::string& out) {
+  if (!owner_.shelf_) return refuse(call, out, proto::kRpcNoMethod, "no such method");
+  if (owner_.shelf_->release(loop_.now(), call.token, call.key))
+    proto::append_released(out, call.id);
+  else
+    proto::append_error(out, call.id, true, proto::kRpcGone, "gone");
+}
+
+void Clients::Connection::read_page(const proto::RpcCall& call, std::string& out) {
+  if (!owner_.shelf_) return refuse(call, out, proto::kRpcNoMethod, "no such method");
+  if (!may_open(call, out)) return;
+  const CallRef ref = ++owner_.last_call_;
+  opened(ref, call.id);
+  owner_.counters_.add("pages asked for");
+  const auto reply = [&owner = owner_, ref, page = call.page](Ms, Shelf::Read what, std::string_view rows,
+                                                              uint64_t pages) {
+    owner.reply(ref, [&](std::string& text, int64_t id) {
+      if (what == Shelf::Read::kRows)
+        proto::append_page(text, id, page, pages, rows);
+      else if (what == Shelf::Read::kGone)
+        proto::append_error(text, id, true, proto::kRpcGone, "gone");
+      else
+        proto::append_error(text, id, true, proto::kRpcNoSuchPage, "no such page");
+    });
+  };
+  owner_.shelf_->read(loop_.now(), call.token, call.key, call.page, reply);
+}
+
 Clients::Clients(Loop& loop, Counters& counters) : loop_(loop), counters_(counters) {}
 
 Clients::~Clients() { accept_on(false); }
@@ -394,7 +413,7 @@
       case Kind::kRefused:
         return proto::append_refused_change(out, id, told.text);
       case Kind::kBadParams:
-        return proto::append_error(out, id, true, -32602, told.text);
+        return proto::append_error(out, id, true, proto::kRpcBadParams, told.text);
       case Kind::kNoMajority:
         return proto::append_error(out, id, true, proto::kRpcNoMajority,
                                    "no majority of keepers: nothing was changed");
--- a/src/proto/jsonrpc/rpc.cpp
+++ b/src/proto/jsonrpc/rpc.cpp
@@ -94,15 +94,17 @@
   RpcCall call;
   rapidjson::Document message;
   if (!parse_in_place(body, message)) return invalid(call, kRpcUnreadable, "not JSON");
-  if (!message.IsObject()) return invalid(call, -32600, "not a request");
+  if (!message.IsObject()) return invalid(call, kRpcBadRequest, "not a request");
   if (const Value* id = member(message, "id")) {
-    if (!id->IsInt64() || id->GetInt64() < 1) return invalid(call, -32600, "id is no number from 1 up");
+    if (!id->IsInt64() || id->GetInt64() < 1)
+      return invalid(call, kRpcBadRequest, "id is no number from 1 up");
     call.has_id = true;
     call.id = id->GetInt64();
   }
   std::string_view version;
-  if (!put_text(message, "jsonrpc", version) || version != "2.0") return invalid(call, -32600, "not 2.0");
-  if (!put_text(message, "method", call.profile)) return invalid(call, -32600, "no method");
+  if (!put_text(message, "jsonrpc", version) || version != "2.0")
+    return invalid(call, kRpcBadRequest, "not 2.0");
+  if (!put_text(message, "method", call.profile)) return invalid(call, kRpcBadRequest, "no method");
   const Value* params = member(message, "params");
   // With a body they are commands: a deployment may have profiles of these names.
   const bool has_body = params && params->IsObject() && member(*params, "bytes");
@@ -110,14 +112,14 @@
     call.kind = RpcCall::Kind::kHeartbeat;
     return call;
   }
-  if (!params || !params->IsObject()) return invalid(call, -32602, "no params");
+  if (!params || !params->IsObject()) return invalid(call, kRpcBadParams, "no params");
   if (call.profile == "revoke" && !has_body) {
     call.kind = RpcCall::Kind::kRevoke;
     put_text(*params, "req", call.command);
     if (const Value* id = member(*params, "id"); id && id->IsInt64()) call.revoked = id->GetInt64();
     return call;
   }
-  if (!call.has_id) return invalid(call, -32600, "no id");
+  if (!call.has_id) return invalid(call, kRpcBadRequest, "no id");
   put_text(*params, "key", call.key);
   // With a token they are about pages; without one a deployment may have profiles of these names.
   if ((call.profile == "page" || call.profile == "release") && put_text(*params, "token", call.token)) {
@@ -138,19 +140,19 @@
   }
   // A command that runs once under a name; without one a deployment may have a profile of this name.
   const bool merge = call.profile == "merge" && put_text(*params, "name", call.name);
-  if (merge && !put_text(*params, "profile", call.profile)) return invalid(call, -32602, "no profile");
+  if (merge && !put_text(*params, "profile", call.profile)) return invalid(call, kRpcBadParams, "no profile");
   if (const Value* paged = member(*params, "paged")) call.paged = paged->IsBool() && paged->GetBool();
   std::string_view bytes;
   if (!put_text(*params, "req", call.command) || !is_command_id(call.command))
-    return invalid(call, -32602, "req is not 16 hex digits");
+    return invalid(call, kRpcBadParams, "req is not 16 hex digits");
   put_text(*params, "first", call.first);
   if (!member(*params, "timeout") || !put_figure(*params, "timeout", call.timeout) || call.timeout < 1)
-    return invalid(call, -32602, "timeout is not a number of milliseconds");
+    return invalid(call, kRpcBadParams, "timeout is not a number of milliseconds");
   if (!put_figure(*params, "ms", call.estimate) || !put_figure(*params, "mem", call.memory_mb))
-    return invalid(call, -32602, "an estimate is not a number");
-  if (!put_text(*params, "bytes", bytes)) return invalid(call, -32602, "no bytes");
+    return invalid(call, kRpcBadParams, "an estimate is not a number");
+  if (!put_text(*params, "bytes", bytes)) return invalid(call, kRpcBadParams, "no bytes");
   auto statement = from_base64(bytes);
-  if (!statement) return invalid(call, -32602, "bytes are not base64");
+  if (!statement) return invalid(call, kRpcBadParams, "bytes are not base64");
   call.statement = std::move(*statement);
   call.kind = merge ? RpcCall::Kind::kMerge : RpcCall::Kind::kCommand;
   return call;
--- a/src/proto/jsonrpc/rpc.h
+++ b/src/proto/jsonrpc/rpc.h
@@ -72,5 +72,6 @@
 constexpr int kRpcRefusedChange = -32010, kRpcNoMajority = -32011, kRpcMayBeMade = -32012;  // of a bulletin
 constexpr int kRpcFailed = -32000, kRpcShed = -32001, kRpcGone = -32002, kRpcNoSuchPage = -32003,
               kRpcUnreadable = -32700;
+constexpr int kRpcBadRequest = -32600, kRpcNoMethod = -32601, kRpcBadParams = -32602;  // as JSON-RPC has them
 
 }  // namespace firvalve::proto
