--- a/src/lab/world.cpp
+++ b/src/lab/world.cpp
@@ -16,19 +16,19 @@
 namespace firvalve::lab {
 namespace {
 
-constexpr Ms kUnasked = 2100;  // after a withdrawal, as the gateway's driver has it
+constexpr Ms kCancelUnanswered = 2100;  // after a withdrawal, as the gateway's driver has it
 
 struct Event {
   enum class Kind : uint8_t {
-    kArrive,   // a client's command at `who`
-    kTurn,     // of gateway `who`
-    kStart,    // a send comes to engine `who`
-    kStop,     // its withdrawal does
-    kDone,     // engine `who` has finished something, if `number` is still its version
-    kOver,     // the end of a send comes to gateway `who`: `outcome`
-    kList,     // gateway `who` hears of engine `engine`
-    kTrouble,  // begins
-    kCure,     // ends
+    kArrive,       // a client's command at `who`
+    kTurn,         // of gateway `who`
+    kStart,        // a send comes to engine `who`
+    kStop,         // its withdrawal does
+    kDone,         // engine `who` has finished something, if `number` is still its version
+    kEnd,          // the end of a send comes to gateway `who`: `outcome`
+    kList,         // gateway `who` hears of engine `engine`
+    kTrouble,      // begins
+    kTroubleEnds,  // ends
   };
   Kind kind = Kind::kTurn;
   uint8_t outcome = 0;
@@ -46,7 +46,7 @@
 
 class World {
  public:
-  explicit World(const WorldTerms& terms);
+  explicit World(const WorldOptions& options);
   WorldOutcome play();
 
  private:
@@ -59,15 +59,15 @@
     uint32_t id = 0;  // as listed; new after each death
     bool silent = false, dead = false;
   };
-  struct Sending {
+  struct Attempt {
     uint32_t gateway = 0, engine = 0, engine_id = 0;
     uint64_t of_gateway = 0;  // the gateway's number of it
     double work = 0;
     int threads = 1;
     uint64_t command = 0;
-    bool over = false, at_engine = false;
+    bool ended = false, at_engine = false;
   };
-  struct Asked {
+  struct Command {
     Ms at = 0;
     double work = 0;
     int profile = 0;
@@ -79,21 +79,23 @@
   void start(uint64_t send);
   void stop(uint64_t send);
   void done(uint32_t engine, uint64_t version);
-  void over(uint64_t send, Outcome outcome);
+  void end_attempt(uint64_t send, Outcome outcome);
   void list(uint32_t gateway, uint32_t engine, uint32_t id, bool listed);
   void trouble(size_t number, bool begins);
   double pace(const Engine& e) const;  // work a ms that a thread gets
   void advance(Engine& e);
   void plan(uint32_t engine);
   void end_later(uint64_t send, Outcome outcome, Ms wait);
-  Ms way() { return std::uniform_real_distribution<double>(terms_.way_least, terms_.way_most)(chance_); }
+  Ms network_delay() {
+    return std::uniform_real_distribution<double>(options_.delay_least, options_.delay_most)(chance_);
+  }
   void note(Happening h);
   void finish(uint32_t gateway, CallRef call, Happening::Kind kind);
   double busy() const;
   Articles articles(int gateway) const;
   void put(Ms wait, Event e) { queue_.put(now_ + wait, e); }
 
-  WorldTerms terms_;
+  WorldOptions options_;
   RunRules rules_;
   pcg64 chance_;
   EventQueue<Event> queue_;
@@ -101,9 +103,9 @@
   const Ms begin_ = 1000;
   std::vector<Engine> engines_;
   std::vector<std::unique_ptr<Gateway>> gateways_;
-  std::unordered_map<uint64_t, Sending> sends_;
-  std::unordered_map<uint64_t, Asked> asked_;  // by command, until its final answer
-  uint64_t last_send_ = 0, last_command_ = 0;
+  std::unordered_map<uint64_t, Attempt> attempts_;
+  std::unordered_map<uint64_t, Command> commands_;  // by command, until its final answer
+  uint64_t last_attempt_ = 0, last_command_ = 0;
   uint32_t last_engine_ = 0;
   History history_;
   WorldOutcome outcome_;
@@ -124,8 +126,8 @@
   void answer_paged(CallRef, ShelfNo) override {}
 
   void start(Ms, const Order& order) override {
-    const uint64_t send = ++world.last_send_;
-    Sending& s = world.sends_[send];
+    const uint64_t send = ++world.last_attempt_;
+    Attempt& s = world.attempts_[send];
     s.gateway = number;
     s.of_gateway = order.send;
     s.command = std::stoull(std::string(order.command), nullptr, 16);
@@ -133,9 +135,9 @@
     const auto at = place.find(order.engine);
     s.engine = at == place.end() ? UINT32_MAX : at->second;
     by_send[order.send] = send;
-    const Asked& asked = world.asked_.at(s.command);
+    const Command& asked = world.commands_.at(s.command);
     s.work = asked.work;
-    s.threads = world.terms_.profiles[static_cast<size_t>(asked.profile)].threads;
+    s.threads = world.options_.profiles[static_cast<size_t>(asked.profile)].threads;
     ++world.outcome_.sends;
     Happening h;
     h.kind = Happening::Kind::kSent;
@@ -149,17 +151,17 @@
     e.kind = Event::Kind::kStart;
     e.who = s.engine;
     e.number = send;
-    world.put(world.way(), e);
+    world.put(world.network_delay(), e);
   }
   void withdraw(Ms, uint64_t of_gateway, Outcome as) override {
     const auto at = by_send.find(of_gateway);
     if (at == by_send.end()) return;
     // Without an answer to its withdrawal it ends when an unasked query would have.
-    world.end_later(at->second, as, as == Outcome::kCancelled ? kUnasked : 0);
+    world.end_later(at->second, as, as == Outcome::kCancelled ? kCancelUnanswered : 0);
     Event e;
     e.kind = Event::Kind::kStop;
     e.number = at->second;
-    world.put(world.way(), e);
+    world.put(world.network_delay(), e);
   }
   void rank(Ms, uint64_t, int) override {}
   void list(Ms, uint32_t, std::string_view, Life) override {}
@@ -182,25 +184,25 @@
   return {lookup, report, load};
 }
 
-World::World(const WorldTerms& terms) : terms_(terms), chance_(terms.seed, 77) {
-  if (terms_.profiles.empty()) terms_.profiles = usual_profiles();
-  for (const WorldProfile& p : terms_.profiles) {
+World::World(const WorldOptions& options) : options_(options), chance_(options.seed, 77) {
+  if (options_.profiles.empty()) options_.profiles = usual_profiles();
+  for (const WorldProfile& p : options_.profiles) {
     RunRules::Profile rule;
     rule.name = p.name;
     rule.effect = p.effect;
     rules_.profiles.push_back(rule);
     outcome_.names.push_back(p.name);
   }
-  outcome_.profiles.resize(terms_.profiles.size());
+  outcome_.profiles.resize(options_.profiles.size());
   // One for each id that there will be.
-  size_t ids = static_cast<size_t>(terms_.engines);
-  for (const Trouble& t : terms_.troubles)
+  size_t ids = static_cast<size_t>(options_.engines);
+  for (const Trouble& t : options_.troubles)
     if (t.kind == Trouble::Kind::kDies) ids += t.engines;
   rules_.engines.assign(ids, {"z", "std", 0});
   rules_.drain_grace = 1000;
-  engines_.resize(static_cast<size_t>(terms_.engines));
+  engines_.resize(static_cast<size_t>(options_.engines));
   for (Engine& e : engines_) e.id = ++last_engine_;
-  for (int g = 0; g < terms_.gateways; ++g)
+  for (int g = 0; g < options_.gateways; ++g)
     gateways_.push_back(std::make_unique<Gateway>(*this, static_cast<uint32_t>(g), articles(g), chance_()));
   for (uint32_t g = 0; g < gateways_.size(); ++g) {
     std::vector<NamedListing> all;
@@ -222,29 +224,29 @@
     Event e;
     e.kind = Event::Kind::kArrive;
     e.who = g;
-    put(std::exponential_distribution<double>(terms_.rate / 1000 / terms_.gateways)(chance_), e);
+    put(std::exponential_distribution<double>(options_.rate / 1000 / options_.gateways)(chance_), e);
   }
-  for (size_t i = 0; i < terms_.troubles.size(); ++i) {
+  for (size_t i = 0; i < options_.troubles.size(); ++i) {
     Event e;
     e.kind = Event::Kind::kTrouble;
     e.number = i;
-    put(terms_.troubles[i].at, e);
-    e.kind = Event::Kind::kCure;
-    put(terms_.troubles[i].at + terms_.troubles[i].lasts, e);
+    put(options_.troubles[i].at, e);
+    e.kind = Event::Kind::kTroubleEnds;
+    put(options_.troubles[i].at + options_.troubles[i].lasts, e);
   }
 }
 
 Articles World::articles(int gateway) const {
   Articles a;
-  a["gateways"] = static_cast<double>(terms_.gateways);
+  a["gateways"] = static_cast<double>(options_.gateways);
   a["gateway number"] = static_cast<double>(gateway);
   a["may cancel"] = 1.0;
   a["sends at most"] = 4.0;
   a["tick"] = 5.0;
-  a["cores.std"] = terms_.cores;
+  a["cores.std"] = options_.cores;
   a["memory.std"] = 64000.0;
-  for (size_t i = 0; i < terms_.profiles.size(); ++i) {
-    const WorldProfile& p = terms_.profiles[i];
+  for (size_t i = 0; i < options_.profiles.size(); ++i) {
+    const WorldProfile& p = options_.profiles[i];
     const std::string at = fmt::format("profile.{}.", i);
     a[at + "name"] = p.name;
     a[at + "benefit"] = p.benefit;
@@ -265,20 +267,21 @@
       outcome_.hash, static_cast<uint64_t>(h.at * 1e6),      static_cast<uint64_t>(h.kind), h.command,
       h.send,        (uint64_t{h.gateway} << 32) | h.engine, static_cast<uint64_t>(h.how)};
   outcome_.hash = XXH3_64bits(parts, sizeof parts);
-  if (terms_.keep_history) history_.push_back(h);
+  if (options_.keep_history) history_.push_back(h);
 }
 
 double World::busy() const {
   double wanted = 0;
-  for (const Engine& e : engines_) wanted += std::min(e.threads, terms_.cores);
-  return wanted / (terms_.cores * static_cast<double>(engines_.size()));
+  for (const Engine& e : engines_) wanted += std::min(e.threads, options_.cores);
+  return wanted / (options_.cores * static_cast<double>(engines_.size()));
 }
 
 double World::pace(const Engine& e) const {
   if (e.threads <= 0 || e.silent) return 0;
-  const double crowd = e.threads / terms_.cores;
-  const double loss = 1 + terms_.crowd_loss * std::max(0.0, crowd - terms_.crowd);
-  return std::min(1.0, 1 / crowd) / loss;
+  const double threads_per_core = e.threads / options_.cores;
+  const double loss =
+      1 + options_.contention_loss * std::max(0.0, threads_per_core - options_.contention_from);
+  return std::min(1.0, 1 / threads_per_core) / loss;
 }
 
 void World::advance(Engine& e) {
@@ -308,23 +311,23 @@
   Event next;
   next.kind = Event::Kind::kArrive;
   next.who = g;
-  put(std::exponential_distribution<double>(terms_.rate / 1000 / terms_.gateways)(chance_), next);
+  put(std::exponential_distribution<double>(options_.rate / 1000 / options_.gateways)(chance_), next);
   double drawn = std::uniform_real_distribution<double>(0, 1)(chance_);
   size_t p = 0;
-  while (p + 1 < terms_.profiles.size() && drawn >= terms_.profiles[p].share)
-    drawn -= terms_.profiles[p++].share;
-  const WorldProfile& profile = terms_.profiles[p];
+  while (p + 1 < options_.profiles.size() && drawn >= options_.profiles[p].share)
+    drawn -= options_.profiles[p++].share;
+  const WorldProfile& profile = options_.profiles[p];
   const double spread = profile.spread;
   const double work =
       profile.work * std::exp(std::normal_distribution<double>(-spread * spread / 2, spread)(chance_));
   const double guess = std::exp(std::normal_distribution<double>(0, profile.estimate_spread)(chance_));
   const uint64_t command = ++last_command_;
   const std::string id = fmt::format("{:016x}", command);
-  Asked asked;
+  Command asked;
   asked.at = now_;
   asked.work = work;
   asked.profile = static_cast<int>(p);
-  asked_[command] = asked;
+  commands_[command] = asked;
   ++outcome_.commands;
   ++outcome_.profiles[p].asked;
   Happening h;
@@ -353,12 +356,12 @@
   if (at == gateway.calls.end()) return;
   const uint64_t command = at->second;
   gateway.calls.erase(at);
-  const Asked& asked = asked_.at(command);
+  const Command& asked = commands_.at(command);
   ProfileOutcome& out = outcome_.profiles[static_cast<size_t>(asked.profile)];
   const Ms took = now_ - asked.at;
   if (kind == Happening::Kind::kAnswered) {
     out.latency.add(took);
-    (took <= terms_.profiles[static_cast<size_t>(asked.profile)].target ? out.in_target : out.late) += 1;
+    (took <= options_.profiles[static_cast<size_t>(asked.profile)].target ? out.in_target : out.late) += 1;
   } else {
     (kind == Happening::Kind::kRefused ? out.shed : out.failed) += 1;
     ++shed_;
@@ -369,16 +372,16 @@
   h.gateway = g;
   h.command = command;
   note(h);
-  asked_.erase(command);
+  commands_.erase(command);
 }
 
 void World::start(uint64_t send) {
-  const auto at = sends_.find(send);
-  if (at == sends_.end() || at->second.over) return;
-  Sending& s = at->second;
+  const auto at = attempts_.find(send);
+  if (at == attempts_.end() || at->second.ended) return;
+  Attempt& s = at->second;
   Engine& e = engines_[s.engine];
   // Another program at the address, or none, refuses it.
-  if (e.dead || e.id != s.engine_id) return end_later(send, Outcome::kConnectFailed, way());
+  if (e.dead || e.id != s.engine_id) return end_later(send, Outcome::kConnectFailed, network_delay());
   advance(e);
   s.at_engine = true;
   e.queries.push_back({send, s.gateway, s.work, s.threads});
@@ -387,9 +390,9 @@
 }
 
 void World::stop(uint64_t send) {
-  const auto at = sends_.find(send);
-  if (at == sends_.end()) return;
-  Sending& s = at->second;
+  const auto at = attempts_.find(send);
+  if (at == attempts_.end()) return;
+  Attempt& s = at->second;
   Engine& e = engines_[s.engine == UINT32_MAX ? 0 : s.engine];
   if (s.engine == UINT32_MAX || e.silent) return;  // nothing comes back; the gateway gives it up by itself
   advance(e);
@@ -400,7 +403,7 @@
     e.queries.erase(query);
     plan(s.engine);
   }
-  end_later(send, Outcome::kCancelled, way());
+  end_later(send, Outcome::kCancelled, network_delay());
 }
 
 void World::done(uint32_t engine, uint64_t version) {
@@ -415,27 +418,27 @@
     const Query q = e.queries[i];
     e.threads -= q.threads;
     e.queries.erase(e.queries.begin() + static_cast<long>(i));
-    end_later(q.send, Outcome::kOk, way());
+    end_later(q.send, Outcome::kOk, network_delay());
   }
   plan(engine);
 }
 
 void World::end_later(uint64_t send, Outcome outcome, Ms wait) {
-  const auto at = sends_.find(send);
-  if (at == sends_.end()) return;
+  const auto at = attempts_.find(send);
+  if (at == attempts_.end()) return;
   Event e;
-  e.kind = Event::Kind::kOver;
+  e.kind = Event::Kind::kEnd;
   e.who = at->second.gateway;
   e.number = send;
   e.outcome = static_cast<uint8_t>(outcome);
   put(wait, e);
 }
 
-void World::over(uint64_t send, Outcome outcome) {
-  const auto at = sends_.find(send);
-  if (at == sends_.end() || at->second.over) return;
-  Sending s = at->second;
-  at->second.over = true;
+void World::end_attempt(uint64_t send, Outcome outcome) {
+  const auto at = attempts_.find(send);
+  if (at == attempts_.end() || at->second.ended) return;
+  Attempt s = at->second;
+  at->second.ended = true;
   if (s.engine != UINT32_MAX && s.at_engine && outcome != Outcome::kOk) {
     // Given up by its gateway: it ends at the engine, too, once that hears of it.
     Engine& e = engines_[s.engine];
@@ -460,7 +463,7 @@
   note(h);
   Gateway& gateway = *gateways_[s.gateway];
   gateway.by_send.erase(s.of_gateway);
-  sends_.erase(send);
+  attempts_.erase(send);
   gateway.core.ended(now_, s.of_gateway, outcome);
 }
 
@@ -483,7 +486,7 @@
 }
 
 void World::trouble(size_t number, bool begins) {
-  const Trouble& t = terms_.troubles[number];
+  const Trouble& t = options_.troubles[number];
   const uint32_t last = std::min<uint32_t>(t.engine + t.engines, static_cast<uint32_t>(engines_.size()));
   for (uint32_t i = t.engine; i < last; ++i) {
     Engine& e = engines_[i];
@@ -496,7 +499,7 @@
     const uint32_t old = e.id;
     if (begins) {
       e.dead = true;
-      for (const Query& q : e.queries) end_later(q.send, Outcome::kReset, way());
+      for (const Query& q : e.queries) end_later(q.send, Outcome::kReset, network_delay());
       e.queries.clear();
       e.threads = 0;
       ++e.version;
@@ -511,7 +514,7 @@
       event.engine = i;
       event.number = begins ? old : e.id;
       event.listed = !begins;
-      put(terms_.list_late * std::uniform_real_distribution<double>(0.5, 1)(chance_), event);
+      put(options_.list_delay * std::uniform_real_distribution<double>(0.5, 1)(chance_), event);
     }
   }
 }
@@ -543,33 +546,33 @@
       return stop(e.number);
     case Event::Kind::kDone:
       return done(e.who, e.number);
-    case Event::Kind::kOver:
-      over(e.number, static_cast<Outcome>(e.outcome));
+    case Event::Kind::kEnd:
+      end_attempt(e.number, static_cast<Outcome>(e.outcome));
       return turn(e.who);
     case Event::Kind::kList:
       list(e.who, e.engine, static_cast<uint32_t>(e.number), e.listed);
       return turn(e.who);
     case Event::Kind::kTrouble:
       return trouble(e.number, true);
-    case Event::Kind::kCure:
+    case Event::Kind::kTroubleEnds:
       return trouble(e.number, false);
   }
 }
 
 WorldOutcome World::play() {
-  const Ms end = begin_ + terms_.length;
+  const Ms end = begin_ + options_.length;
   while (!queue_.empty() && queue_.next_at() <= end) {
     now_ = queue_.next_at();
     ++outcome_.events;
     handle(queue_.take());
   }
   outcome_.idle_shed = shed_ == 0 ? 0 : static_cast<double>(shed_idle_) / static_cast<double>(shed_);
-  if (terms_.keep_history) outcome_.verdict = judge(rules_, history_, end);
+  if (options_.keep_history) outcome_.verdict = judge(rules_, history_, end);
   return std::move(outcome_);
 }
 
 }  // namespace
 
-WorldOutcome play(const WorldTerms& terms) { return World(terms).play(); }
+WorldOutcome play(const WorldOptions& options) { return World(options).play(); }
 
 }  // namespace firvalve::lab
--- a/src/lab/world.h
+++ b/src/lab/world.h
@@ -6,7 +6,7 @@
 // many threads want them; engines that go silent, and that die and come back; the list that tells of it late;
 // a way of some milliseconds; clients that ask at random moments and wait for so long. What it has not yet:
 // memory, disks, warm data, bad plans, cold engines that fall over, clients that ask again. Its figures are
-// its own terms, never the module's.
+// its own options, never the module's.
 #pragma once
 
 #include <array>
@@ -37,16 +37,17 @@
   uint32_t engine = 0, engines = 1;  // so many from that one on
 };
 
-struct WorldTerms {
+struct WorldOptions {
   uint64_t seed = 1;
   int engines = 8, gateways = 3;
   double cores = 8;
-  double crowd = 1.5;  // threads a core past which total work falls, by `crowd_loss` for each more
-  double crowd_loss = 0.1;
+  double contention_from =
+      1.5;  // threads a core past which total work falls, by `contention_loss` for each more
+  double contention_loss = 0.1;
   double rate = 200;  // commands a second, all gateways together
   Ms length = 60000;
-  Ms way_least = 0.5, way_most = 2;  // one way
-  Ms list_late = 2000;
+  Ms delay_least = 0.5, delay_most = 2;  // one way
+  Ms list_delay = 2000;
   std::vector<WorldProfile> profiles;  // empty: a lookup, a report and a load
   std::vector<Trouble> troubles;
   bool keep_history = true;  // for the checker; a long run at large size has none
@@ -67,6 +68,6 @@
   Verdict verdict;  // of no history: empty
 };
 
-WorldOutcome play(const WorldTerms& terms);
+WorldOutcome play(const WorldOptions& options);
 
 }  // namespace firvalve::lab
--- a/tests/lab/world_test.cpp
+++ b/tests/lab/world_test.cpp
@@ -7,8 +7,8 @@
 namespace firvalve::lab {
 namespace {
 
-WorldTerms small(uint64_t seed = 1) {
-  WorldTerms t;
+WorldOptions small(uint64_t seed = 1) {
+  WorldOptions t;
   t.seed = seed;
   t.length = 20000;
   t.rate = 150;
@@ -41,7 +41,7 @@
 }
 
 TEST(World, SilentAndDyingEnginesCostServiceAndNoRule) {
-  WorldTerms t = small(3);
+  WorldOptions t = small(3);
   t.troubles.push_back({Trouble::Kind::kSilent, 3000, 5000, 0, 2});
   t.troubles.push_back({Trouble::Kind::kDies, 6000, 4000, 3, 3});
   const WorldOutcome o = play(t);
@@ -51,7 +51,7 @@
 }
 
 TEST(World, AnOverloadIsShedNotLost) {
-  WorldTerms t = small(5);
+  WorldOptions t = small(5);
   t.rate = 3000;
   t.length = 6000;
   const WorldOutcome o = play(t);
