Lab's world: engine slots and queue, connections, clients that ask again, bursts, a timeline

Need: the collapse seen at 300 gateways has to show second by second, with each suspect to be taken away.

--- a/src/lab/run.cpp
+++ b/src/lab/run.cpp
@@ -2,6 +2,7 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <chrono>
 #include <cstdio>
 #include <fstream>
@@ -19,10 +20,32 @@
   return 0;
 }
 
-int run(const WorldOptions& options) {
+// A table with a line a second: what the clients got, what went on, how things stood at its end.
+void print_timeline(const std::vector<WorldSecond>& timeline) {
+  const auto count = [](uint64_t value) { return static_cast<unsigned long long>(value); };
+  std::printf("%4s %6s %7s %7s %7s | %8s %8s %7s %7s %7s | %7s %7s %7s | %7s %7s %7s %7s %7s %7s\n", "s",
+              "asked", "served%", "target%", "again", "attempts", "answered", "full", "timeout", "cancel",
+              "connect", "refused", "timeout", "in hand", "running", "queued", "conns", "ejected", "thr/cor");
+  for (size_t i = 0; i < timeline.size(); ++i) {
+    const WorldSecond& t = timeline[i];
+    const double asked = std::max(1.0, static_cast<double>(t.asked));
+    std::printf(
+        "%4zu %6llu %7.1f %7.1f %7llu | %8llu %8llu %7llu %7llu %7llu | %7llu %7llu %7llu | %7llu %7llu "
+        "%7llu "
+        "%7llu %7llu %7.2f\n",
+        i, count(t.asked), 100 * static_cast<double>(t.served) / asked,
+        100 * static_cast<double>(t.in_target) / asked, count(t.asked_again), count(t.attempts),
+        count(t.answered), count(t.full), count(t.timed_out), count(t.cancelled), count(t.connects),
+        count(t.connects_refused), count(t.connects_timed_out), count(t.in_hand), count(t.running),
+        count(t.queued), count(t.connections), count(t.ejected), t.threads_per_core);
+  }
+}
+
+int run(const WorldOptions& options, bool timeline) {
   const auto start = std::chrono::steady_clock::now();
   const WorldOutcome o = play(options);
   const double took = std::chrono::duration<double>(std::chrono::steady_clock::now() - start).count();
+  if (timeline) print_timeline(o.timeline);
   std::printf("%-8s %9s %9s %7s %7s %7s %9s %9s\n", "profile", "asked", "in target", "late", "shed", "failed",
               "p50 ms", "p99 ms");
   for (size_t i = 0; i < o.profiles.size(); ++i) {
@@ -33,32 +56,55 @@
                 static_cast<unsigned long long>(p.failed), p.latency.quantile(0.5), p.latency.quantile(0.99));
   }
   std::printf(
-      "%llu commands, %llu sends, %llu events; %.1f s of %.1f s, %.1f us a command; %.0f MB at most\n",
-      static_cast<unsigned long long>(o.commands), static_cast<unsigned long long>(o.sends),
+      "%llu commands, %llu attempts, %llu events; %.1f s of %.1f s, %.1f us a command; %.0f MB at most\n",
+      static_cast<unsigned long long>(o.commands), static_cast<unsigned long long>(o.attempts),
       static_cast<unsigned long long>(o.events), took, options.length / 1000,
       o.commands ? 1e6 * took / static_cast<double>(o.commands) : 0, peak_mb());
   std::printf("of what was shed or failed, %.0f in 100 while half of the cores or more stood idle\n",
               100 * o.idle_shed);
+  std::printf("of what clients first asked for, %.1f in 100 served\n",
+              100 * served_share(o, 0, o.timeline.size()));
   std::printf("history %016llx\n", static_cast<unsigned long long>(o.hash));
   if (options.keep_history) std::fputs(o.verdict.text().c_str(), stdout);
   return o.verdict.good() ? 0 : 1;
 }
 
+// What the line sets stays.
+void use_crowded_fleet(const CLI::App& line, WorldOptions& options) {
+  WorldOptions crowded = crowded_fleet(options.gateways);
+  crowded.seed = options.seed;
+  if (line.count("--rate") > 0) crowded.rate = options.rate;
+  if (line.count("--engines") > 0) crowded.engines = options.engines;
+  options = crowded;
+}
+
+// One suspect less, the rest as it is.
+void take_away(const std::string& model, WorldOptions& options) {
+  if (model == "retries") options.client_retries.most = 0;
+  if (model == "connections") options.engine.connections.modelled = false;
+  if (model == "queue") options.engine.queue = 0;
+  if (model == "contention") options.engine.contention_loss = 0;
+  if (model == "cancel") options.may_cancel = false;
+  if (model == "notes") options.note_period = 0;
+  if (model == "attempts") options.attempts_most = 1;
+}
+
 }  // namespace
 
 void add_run(CLI::App& app, int& exit_code) {
   struct Line {
     WorldOptions options;
     double seconds = 60;
-    std::vector<double> silent, dies;
-    bool no_history = false;
+    std::vector<double> silent, dies, burst;
+    std::vector<std::string> without;
+    bool no_history = false, crowded = false, timeline = false;
   };
   auto o = std::make_shared<Line>();
   CLI::App* const run_app =
       app.add_subcommand("run", "Plays a world in virtual time through real cores and modules");
   run_app->add_option("--engines", o->options.engines)->check(CLI::Range(1, 100000))->capture_default_str();
   run_app->add_option("--gateways", o->options.gateways)->check(CLI::Range(1, 10000))->capture_default_str();
-  run_app->add_option("--cores", o->options.cores, "of an engine")
+  run_app->add_option("--cores", o->options.engine.cores, "of an engine")
       ->check(CLI::Range(1.0, 1024.0))
       ->capture_default_str();
   run_app->add_option("--rate", o->options.rate, "commands a second, all gateways")
@@ -75,10 +121,21 @@
       ->expected(3, 4);
   run_app->add_option("--dies", o->dies, "AT LASTS ENGINE [ENGINES]: the same, their processes are gone")
       ->expected(3, 4);
+  run_app->add_option("--burst", o->burst, "AT LASTS FACTOR: s, s, so many times the rate")->expected(3);
+  run_app->add_flag(
+      "--crowded", o->crowded,
+      "many gateways an engine, short timeouts, all models on: sets all but --gateways, --seed, "
+      "--seconds, and --rate or --engines where they are given");
+  run_app->add_option("--without", o->without, "of the models that --crowded switches on")
+      ->check(
+          CLI::IsMember({"retries", "connections", "queue", "contention", "cancel", "notes", "attempts"}));
+  run_app->add_flag("--timeline", o->timeline, "a line for each second");
   run_app->add_flag("--no-history", o->no_history,
                     "no verdict on the rules: a long run at large size has no room for it");
   run_app->footer("Exit: 0 no rule broken, 1 one was, 2 usage.");
-  run_app->callback([o, &exit_code] {
+  run_app->callback([o, run_app, &exit_code] {
+    if (o->crowded) use_crowded_fleet(*run_app, o->options);
+    for (const std::string& model : o->without) take_away(model, o->options);
     const auto add = [&](const std::vector<double>& words, Trouble::Kind kind) {
       if (words.empty()) return true;
       const double engines = words.size() > 3 ? words[3] : 1;
@@ -94,9 +151,12 @@
       return true;
     };
     if (!add(o->silent, Trouble::Kind::kSilent) || !add(o->dies, Trouble::Kind::kDies)) return;
+    if (!o->burst.empty())
+      o->options.troubles.push_back(
+          {Trouble::Kind::kBurst, o->burst[0] * 1000, o->burst[1] * 1000, 0, 0, o->burst[2]});
     o->options.length = o->seconds * 1000;
     o->options.keep_history = !o->no_history;
-    exit_code = run(o->options);
+    exit_code = run(o->options, o->timeline);
   });
 }
 
--- a/tests/lab/world_test.cpp
+++ b/tests/lab/world_test.cpp
@@ -46,7 +46,7 @@
   t.troubles.push_back({Trouble::Kind::kDies, 6000, 4000, 3, 3});
   const WorldOutcome o = play(t);
   EXPECT_TRUE(o.verdict.good()) << o.verdict.text();
-  EXPECT_GT(o.sends, o.commands);  // something was sent again
+  EXPECT_GT(o.attempts, o.commands);  // something was tried again
   EXPECT_GT(o.profiles[0].in_target, o.profiles[0].asked * 80 / 100);
 }
 
