--- a/src/lab/run.cpp
+++ b/src/lab/run.cpp
@@ -82,7 +82,7 @@
 void take_away(const std::string& model, WorldOptions& options) {
   if (model == "retries") options.client_retries.most = 0;
   if (model == "connections") options.engine.connections.modelled = false;
-  if (model == "queue") options.engine.queue = 0;
+  if (model == "slots") options.engine.slots = 0;
   if (model == "contention") options.engine.contention_loss = 0;
   if (model == "cancel") options.may_cancel = false;
   if (model == "notes") options.note_period = 0;
@@ -128,7 +128,7 @@
       "--seconds, and --rate or --engines where they are given");
   run_app->add_option("--without", o->without, "of the models that --crowded switches on")
       ->check(
-          CLI::IsMember({"retries", "connections", "queue", "contention", "cancel", "notes", "attempts"}));
+          CLI::IsMember({"retries", "connections", "slots", "contention", "cancel", "notes", "attempts"}));
   run_app->add_flag("--timeline", o->timeline, "a line for each second");
   run_app->add_flag("--no-history", o->no_history,
                     "no verdict on the rules: a long run at large size has no room for it");
--- a/src/lab/world.cpp
+++ b/src/lab/world.cpp
@@ -854,9 +854,8 @@
   o.attempts_most = 2;
   o.engine.cores = 6;
   o.engine.contention_from = 1.8;
-  o.engine.contention_loss = 0.25;
+  o.engine.contention_loss = 0.6;
   o.engine.slots = 24;
-  o.engine.queue = 24;
   o.engine.connections.modelled = true;
   o.engine.connections.table_size = 3400;
   o.engine.connections.full_table_tax = 0.09;
