--- a/src/lab/run.cpp
+++ b/src/lab/run.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <cmath>
 #include <cstdio>
 #include <fstream>
 #include <memory>
@@ -41,6 +42,17 @@
   }
 }
 
+void print_recovery(const WorldOptions& options, const WorldOutcome& outcome) {
+  for (const Trouble& t : options.troubles) {
+    const auto begins = static_cast<size_t>(t.at / 1000);
+    const auto ends = static_cast<size_t>(std::ceil((t.at + t.lasts) / 1000));
+    if (const auto seconds = seconds_to_recover(outcome, begins, ends))
+      std::printf("recovered %zu s after second %zu\n", *seconds, ends);
+    else
+      std::printf("not recovered from second %zu on\n", ends);
+  }
+}
+
 int run(const WorldOptions& options, bool timeline) {
   const auto start = std::chrono::steady_clock::now();
   const WorldOutcome o = play(options);
@@ -64,6 +76,7 @@
               100 * o.idle_shed);
   std::printf("of what clients first asked for, %.1f in 100 served\n",
               100 * served_share(o, 0, o.timeline.size()));
+  print_recovery(options, o);
   std::printf("history %016llx\n", static_cast<unsigned long long>(o.hash));
   if (options.keep_history) std::fputs(o.verdict.text().c_str(), stdout);
   return o.verdict.good() ? 0 : 1;
--- a/src/lab/world.cpp
+++ b/src/lab/world.cpp
@@ -837,6 +837,15 @@
   return std::move(outcome_);
 }
 
+double share_of(const WorldOutcome& outcome, size_t from, size_t until, uint64_t WorldSecond::*part) {
+  uint64_t asked = 0, counted = 0;
+  for (size_t i = from; i < std::min(until, outcome.timeline.size()); ++i) {
+    asked += outcome.timeline[i].asked;
+    counted += outcome.timeline[i].*part;
+  }
+  return asked == 0 ? 1 : static_cast<double>(counted) / static_cast<double>(asked);
+}
+
 }  // namespace
 
 WorldOptions crowded_fleet(int gateways) {
@@ -872,12 +881,21 @@
 }
 
 double served_share(const WorldOutcome& outcome, size_t from, size_t until) {
-  uint64_t asked = 0, served = 0;
-  for (size_t i = from; i < std::min(until, outcome.timeline.size()); ++i) {
-    asked += outcome.timeline[i].asked;
-    served += outcome.timeline[i].served;
-  }
-  return asked == 0 ? 1 : static_cast<double>(served) / static_cast<double>(asked);
+  return share_of(outcome, from, until, &WorldSecond::served);
+}
+
+double in_target_share(const WorldOutcome& outcome, size_t from, size_t until) {
+  return share_of(outcome, from, until, &WorldSecond::in_target);
+}
+
+std::optional<size_t> seconds_to_recover(const WorldOutcome& outcome, size_t begins, size_t ends) {
+  constexpr size_t kWindow = 5;  // seconds
+  constexpr double kRecovered = 0.9;
+  constexpr size_t kOpenEnd = 3;  // seconds before the run's end, of which some commands have no answer yet
+  const double calm = in_target_share(outcome, begins < kWindow ? 0 : begins - kWindow, begins);
+  for (size_t from = ends; from + kWindow + kOpenEnd <= outcome.timeline.size(); ++from)
+    if (in_target_share(outcome, from, from + kWindow) >= kRecovered * calm) return from - ends;
+  return std::nullopt;
 }
 
 WorldOutcome play(const WorldOptions& options) { return World(options).play(); }
--- a/src/lab/world.h
+++ b/src/lab/world.h
@@ -23,7 +23,7 @@
 // own, never the module's.
 #pragma once
 
-#include <array>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -124,8 +124,15 @@
   Verdict verdict;  // of no history: empty
 };
 
-// Of what clients first asked for from second `from` up to, not including, `until`: the share served.
+// Of what clients first asked for from second `from` up to, not including, `until`: the share served, and the
+// share served within the target.
 double served_share(const WorldOutcome& outcome, size_t from, size_t until);
+double in_target_share(const WorldOutcome& outcome, size_t from, size_t until);
+
+// How long service took to come back: whole seconds from second `ends`, when the cause had gone, to the first
+// five of which at least nine tenths of the share of the five before second `begins` were served within the
+// target. None: not within the run.
+std::optional<size_t> seconds_to_recover(const WorldOutcome& outcome, size_t begins, size_t ends);
 
 WorldOutcome play(const WorldOptions& options);
 
