--- /dev/null
+++ b/src/lab/scale/fleet_size.h
@@ -0,0 +1,115 @@
+// The fleet to plan for: the sizes that were asked for, and what is assumed beside them.
+#pragma once
+
+#include <array>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace firvalve::lab::scale {
+
+constexpr double kSecondsPerDay = 86400;
+constexpr double kBytesPerMegabyte = 1e6;
+
+// What was asked for, whole: over the fleet unless the name says otherwise.
+struct PlannedSize {
+  double gateways = 1100;
+  double engines = 1100;
+  double regions = 6;
+  double zones = 20;  // over all regions
+  double client_connections = 6.5e6;
+  double commands_per_second = 1.5e6;
+  double primary_changes_per_day = 2;
+  double primary_change_within_s = 11;
+  double configuration_changes_per_day = 3600;
+  double configuration_change_within_s = 13;
+  double control_core_percent = 1.1;       // of one core, at a gateway
+  double control_memory_mb = 32;           // at a gateway
+  double control_bytes_per_second = 2000;  // at a gateway
+  double control_machines = 12;
+  double machines_failing_per_day = 9;
+  double machines_replaced_per_day = 220;
+  double racks_lost_per_year = 8;    // "every month or two"
+  double zones_lost_per_year = 1.5;  // "once or twice a year"
+  double region_cuts_per_year = 4;   // "several times a year"
+};
+
+// What nobody has told: chosen for the arithmetic, and marked as such in the page.
+struct AssumedSize {
+  double keepers = 5;
+  double duties = 20;
+  double commands_in_hand = 40;  // at one gateway: its rate times 30 ms
+  double racks_per_zone = 10;
+  double descriptors_per_process = 65536;  // the limit that a gateway or keeper is started with
+  double connections_per_engine = 800;     // that an engine's table holds: 8 cores of 100 each
+  double gateway_cores = 1;                // a gateway decides on one thread
+  double gateway_memory_mb = 1024;         // resident, at one gateway
+  double keeper_cores = 1;
+  double bus_cores = 1;
+  double client_spread_s = 4;  // over which clients that lost a gateway come back: `spread_ms`
+};
+
+struct FleetSize {
+  PlannedSize planned;
+  AssumedSize assumed;
+
+  double connections_per_gateway() const { return planned.client_connections / planned.gateways; }
+  double commands_per_gateway() const { return planned.commands_per_second / planned.gateways; }
+  double gateways_per_zone() const { return planned.gateways / planned.zones; }
+
+  // The same fleet with more or fewer machines: what each gateway serves stays the same, and there are as
+  // many engines for each gateway.
+  FleetSize with_gateways(double gateways) const;
+};
+
+// The size that a measurement was varied by or held at, by the name it goes under there ("gateways",
+// "engines", "connections" and "rate" of one gateway, ...). Nothing: no such size.
+std::optional<double> size_by_name(const FleetSize& fleet, std::string_view name);
+
+// A line that says which sizes cannot stand together; empty: all can.
+std::string contradiction(const FleetSize& fleet);
+
+// Every field with its name in the capacity file.
+template <typename Sizes>
+struct SizeField {
+  const char* name;
+  double Sizes::*field;
+};
+
+constexpr std::array<SizeField<PlannedSize>, 19> kPlannedFields = {{
+    {"gateways", &PlannedSize::gateways},
+    {"engines", &PlannedSize::engines},
+    {"regions", &PlannedSize::regions},
+    {"zones", &PlannedSize::zones},
+    {"client_connections", &PlannedSize::client_connections},
+    {"commands_per_second", &PlannedSize::commands_per_second},
+    {"primary_changes_per_day", &PlannedSize::primary_changes_per_day},
+    {"primary_change_within_s", &PlannedSize::primary_change_within_s},
+    {"configuration_changes_per_day", &PlannedSize::configuration_changes_per_day},
+    {"configuration_change_within_s", &PlannedSize::configuration_change_within_s},
+    {"control_core_percent", &PlannedSize::control_core_percent},
+    {"control_memory_mb", &PlannedSize::control_memory_mb},
+    {"control_bytes_per_second", &PlannedSize::control_bytes_per_second},
+    {"control_machines", &PlannedSize::control_machines},
+    {"machines_failing_per_day", &PlannedSize::machines_failing_per_day},
+    {"machines_replaced_per_day", &PlannedSize::machines_replaced_per_day},
+    {"racks_lost_per_year", &PlannedSize::racks_lost_per_year},
+    {"zones_lost_per_year", &PlannedSize::zones_lost_per_year},
+    {"region_cuts_per_year", &PlannedSize::region_cuts_per_year},
+}};
+
+constexpr std::array<SizeField<AssumedSize>, 11> kAssumedFields = {{
+    {"keepers", &AssumedSize::keepers},
+    {"duties", &AssumedSize::duties},
+    {"commands_in_hand", &AssumedSize::commands_in_hand},
+    {"racks_per_zone", &AssumedSize::racks_per_zone},
+    {"descriptors_per_process", &AssumedSize::descriptors_per_process},
+    {"connections_per_engine", &AssumedSize::connections_per_engine},
+    {"gateway_cores", &AssumedSize::gateway_cores},
+    {"gateway_memory_mb", &AssumedSize::gateway_memory_mb},
+    {"keeper_cores", &AssumedSize::keeper_cores},
+    {"bus_cores", &AssumedSize::bus_cores},
+    {"client_spread_s", &AssumedSize::client_spread_s},
+}};
+
+}  // namespace firvalve::lab::scale
