--- a/src/lab/scale/command.cpp
+++ b/src/lab/scale/command.cpp
@@ -167,10 +167,11 @@
   try {
     deliver(options, measure(options.scale));
   } catch (const scale::ScaleError&) {
-    if (scale::is_interrupted()) return kExitInterrupted;
-    throw;
+    if (!scale::is_interrupted()) throw;
+    std::fputs("firvalve-lab scale: interrupted, nothing was written\n", stderr);
+    return kExitInterrupted;
   }
-  return scale::is_interrupted() ? kExitInterrupted : 0;
+  return 0;
 }
 
 int run_page(const CommandOptions& options) {
