Scale run: a real gateway before scripted engines on loopback

Need: capacity of a gateway by engines, connections, commands and rate, in figures that a run repeats. Stand-ins: a listing with its zone, the gateway's configuration apart from the fleet, a process that tells whether it runs, engines that record no calls.

--- /dev/null
+++ b/src/lab/scale/command_load.cpp
@@ -0,0 +1,73 @@
+#include "lab/scale/command_load.h"
+
+#include <algorithm>
+#include <chrono>
+
+namespace firvalve::lab::scale {
+namespace {
+
+using Clock = std::chrono::steady_clock;
+
+constexpr int kConnections = 16;       // of the steady commands
+constexpr int kCommandsPerLink = 16;   // half of what a connection may have open
+constexpr double kShortCommandMs = 5;  // as its statement says
+constexpr double kLongCommandMs = 15000;
+constexpr size_t kLongStatementBytes = 1000;
+
+client::Options client_options(const std::string& gateway, int connections, uint64_t seed) {
+  client::Options options;
+  options.gateways = {gateway};
+  options.links_most = connections;
+  options.open_most = 100000;
+  options.seed = seed;
+  return options;
+}
+
+client::Command short_command() {
+  client::Command command;
+  command.profile = "lookup";
+  command.statement = "select 1 /*! delay=5 */";
+  command.timeout_ms = 4000;
+  command.estimate_ms = kShortCommandMs;
+  command.memory_mb = 10;
+  command.effect = client::Effect::kReplayable;
+  return command;
+}
+
+client::Command long_command() {
+  client::Command command;
+  command.profile = "report";
+  command.statement = "select 1 /*! delay=15000 */ --";
+  command.statement.resize(kLongStatementBytes, ' ');
+  command.timeout_ms = 20000;
+  command.estimate_ms = kLongCommandMs;
+  command.memory_mb = 10;
+  command.effect = client::Effect::kReplayable;
+  return command;
+}
+
+}  // namespace
+
+SteadyCommands::SteadyCommands(const std::string& gateway, double per_second, uint64_t seed)
+    : per_second_(per_second),
+      client_(client_options(gateway, kConnections, seed)),
+      sender_([this](const std::stop_token& stop) { send_until(stop); }) {}
+
+void SteadyCommands::send_until(const std::stop_token& stop) {
+  const client::Command command = short_command();
+  const auto gap =
+      std::chrono::duration_cast<Clock::duration>(std::chrono::duration<double>(1 / per_second_));
+  for (auto next = Clock::now(); !stop.stop_requested(); next += gap) {
+    std::this_thread::sleep_until(next);
+    client_.send(command, [this](const client::Result& result) {
+      if (result.outcome == client::Outcome::kAnswered) ++answered_;
+    });
+  }
+}
+
+CommandsInHand::CommandsInHand(const std::string& gateway, int count, uint64_t seed)
+    : client_(client_options(gateway, std::max(1, count / kCommandsPerLink), seed)) {
+  for (int i = 0; i < count; ++i) client_.send(long_command());
+}
+
+}  // namespace firvalve::lab::scale
--- a/src/lab/scale/options.h
+++ b/src/lab/scale/options.h
@@ -18,6 +18,7 @@
   std::vector<std::string> changes;  // of "list", "configuration"; empty: all
   double seconds = 10;               // that each point is measured for
   uint64_t seed = 1;
+  std::string program;  // the gateway's; empty: `firvalve` beside this process's own
   std::string json;    // file to write the measurements to; empty: none
   bool quick = false;  // small sizes and short times: a look, no figures to plan with
 };
--- /dev/null
+++ b/src/lab/scale/scripted_engines.h
@@ -0,0 +1,37 @@
+// Engines that run nothing, each on a loopback address and port of its own, played by a few threads of this
+// process; and the event bus that lists them. Any number of gateways may share them.
+#pragma once
+
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "lab/scale/process_usage.h"
+#include "standin/bus.h"
+#include "standin/engine.h"
+#include "standin/host.h"
+
+namespace firvalve::lab::scale {
+
+// Of the loopback addresses those that engines listen at; clients and the bus use 127.0.0.1.
+constexpr LoopbackRange kEngineAddresses = {64, 127};
+
+class ScriptedEngines {
+ public:
+  // Throws ScaleError where an address is in use or the descriptors run out.
+  explicit ScriptedEngines(int count);
+
+  struct View {
+    int engines = 0;  // the first so many
+    int zones = 1;    // that they are spread over evenly
+  };
+  // The configuration of a gateway that listens at `listen` and knows these engines.
+  std::string gateway_config(const std::string& listen, View view) const;
+
+ private:
+  std::vector<std::unique_ptr<standin::Host>> hosts_;
+  std::unique_ptr<standin::Bus> bus_;
+  std::vector<std::unique_ptr<standin::Engine>> engines_;
+};
+
+}  // namespace firvalve::lab::scale
--- a/src/standin/bus.cpp
+++ b/src/standin/bus.cpp
@@ -13,10 +13,10 @@
 }
 
 std::string listing(const std::string& name, const std::string& address, const std::string& state,
-                    const std::string& machine) {
+                    const std::string& machine, const std::string& zone) {
   return fmt::format(
-      R"({{"id":"{}","addr":"{}","zone":"z","kind":"{}","cell":0,"state":"{}","weight":1,"started_ms":0}})",
-      name, address, machine, state);
+      R"({{"id":"{}","addr":"{}","zone":"{}","kind":"{}","cell":0,"state":"{}","weight":1,"started_ms":0}})",
+      name, address, zone, machine, state);
 }
 
 std::string topology(int64_t offset, bool full, const std::string& listings) {
--- a/src/standin/bus.h
+++ b/src/standin/bus.h
@@ -10,7 +10,7 @@
 
 // One engine as the bus lists it.
 std::string listing(const std::string& name, const std::string& address, const std::string& state,
-                    const std::string& machine = "std");
+                    const std::string& machine = "std", const std::string& zone = "z");
 // One event, whole, as the bus and `known` of a gateway's configuration tell it.
 std::string topology(int64_t offset, bool full, const std::string& listings);
 
--- a/src/standin/engine.cpp
+++ b/src/standin/engine.cpp
@@ -147,7 +147,7 @@
 void Engine::hear(Connection& connection, const Call& call) {
   {
     const std::lock_guard lock(mutex_);
-    lines_.push_back(call.line);
+    if (means_.records_calls) lines_.push_back(call.line);
     last_at_ = host_.loop().now();
     if (first_at_ == 0) first_at_ = last_at_;
   }
--- a/src/standin/engine.h
+++ b/src/standin/engine.h
@@ -16,8 +16,9 @@
 class Engine {
  public:
   struct Means {
-    int slots = 0;          // queries at work at once, the rest wait their turn; 0: any number
-    Ms full_behind = 1e18;  // one that would wait longer is turned away as full
+    int slots = 0;              // queries at work at once, the rest wait their turn; 0: any number
+    Ms full_behind = 1e18;      // one that would wait longer is turned away as full
+    bool records_calls = true;  // false: calls() counts none, for runs of millions of calls
   };
   explicit Engine(Host& host, Means means, const std::string& address = "127.0.0.1:0");
   ~Engine();
--- a/src/standin/fleet.cpp
+++ b/src/standin/fleet.cpp
@@ -14,11 +14,7 @@
 
 std::string Fleet::name_of(int engine) const { return fmt::format("s-{:08x}", 10 + engine); }
 
-std::string Fleet::config(const std::string& listen, int memory_mb, int sockets) const {
-  std::string listings;
-  for (size_t i = 0; i < engines_.size(); ++i)
-    listings += fmt::format("{}{}", i ? "," : "",
-                            listing(name_of(static_cast<int>(i)), engines_[i]->address(), "SERVING"));
+std::string gateway_config(const GatewayOptions& options, const std::string& listings) {
   constexpr std::string_view kProfile =
       R"({{"name":"{}","semantics":"{}","slo":{}000000,"credit":1.0,"deadline":{}000000}})";
   const std::string profiles = fmt::format(kProfile, "lookup", "idempotent", 800, 4000) + "," +
@@ -28,12 +24,21 @@
       R"({{"name":"n1","listen":"{}","seed":"8c1f30d27a5be964",)"
       R"("limits":{{"cores":1.0,"memory_mb":{},"sockets":{}}},"bus":"{}",)"
       R"("known":{{"offset":1,"batch":[{}]}},)"
-      R"("settings":{{"peers_total":1,"shapes":["std"],)"
+      R"("settings":{{"peers_total":{},"shapes":["std"],)"
       R"("specifics":{{"cores_by_kind":[8],"memory_by_kind_mb":[1000],"class_threads":[1,1,1]}},)"
       R"("ceilings":{{"cancel":true,"try_limit":1,"dial_timeout":250000000,"conn_idle":15000000000,)"
       R"("retry_after":true,"max_retry_after":5000000000}},)"
       R"("profiles":[{}]}}}})",
-      listen, memory_mb, sockets, bus_->address(), topology(1, true, listings), profiles);
+      options.listen, options.memory_mb, options.sockets, options.bus, topology(1, true, listings),
+      options.gateways, profiles);
+}
+
+std::string Fleet::config(const std::string& listen, int memory_mb, int sockets) const {
+  std::string listings;
+  for (size_t i = 0; i < engines_.size(); ++i)
+    listings += fmt::format("{}{}", i ? "," : "",
+                            listing(name_of(static_cast<int>(i)), engines_[i]->address(), "SERVING"));
+  return gateway_config({listen, bus_->address(), memory_mb, sockets}, listings);
 }
 
 int Fleet::runs(const std::string& statement) const {
--- a/src/standin/fleet.h
+++ b/src/standin/fleet.h
@@ -10,7 +10,16 @@
 
 namespace firvalve::standin {
 
+// What a gateway's configuration says beside its engines.
+struct GatewayOptions {
+  std::string listen, bus;
+  int memory_mb = 192, sockets = 1024;
+  int gateways = 1;  // that share the engines
+};
+// The file that NODE_CONFIG names, with engines as listing() tells them, separated by commas.
 // Profiles: lookup (replayable), report (replayable, longer), load (non-replayable).
+std::string gateway_config(const GatewayOptions& options, const std::string& listings);
+
 class Fleet {
  public:
   explicit Fleet(int engines, Engine::Means means = {});
--- a/src/standin/process.cpp
+++ b/src/standin/process.cpp
@@ -60,6 +60,13 @@
   if (process_ > 0) ::kill(process_, number);
 }
 
+bool Process::running() const {
+  if (process_ <= 0) return false;
+  siginfo_t ended{};
+  if (::waitid(P_PID, static_cast<id_t>(process_), &ended, WEXITED | WNOHANG | WNOWAIT) != 0) return false;
+  return ended.si_pid == 0;
+}
+
 int Process::wait() {
   int status = 0;
   if (process_ > 0) ::waitpid(process_, &status, 0);
--- a/src/standin/process.h
+++ b/src/standin/process.h
@@ -23,6 +23,7 @@
   int wait();  // its exit code; -1: ended by a signal
   void stop(int number) { signal(number), wait(); }
   pid_t id() const { return process_; }
+  bool running() const;  // started, and not ended by itself; its exit code is still wait()'s to tell
   void rewrite(const std::string& config);
   const std::string& config_path() const { return path_; }
   // Waits until something listens there, for at most 10 s; false: nothing does.
