--- a/src/lab/scale/command.cpp
+++ b/src/lab/scale/command.cpp
@@ -257,6 +257,7 @@
       ->check(CLI::IsMember({"list", "configuration"}));
   app.add_option("--seconds", options.seconds, "that each point is measured for")->capture_default_str();
   app.add_option("--seed", options.seed)->capture_default_str();
+  app.add_option("--program", options.program, "the gateway's; firvalve beside this program by default");
   app.add_flag("--quick", options.quick, "small sizes, short times: a look, no figures to plan with");
 }
 
--- a/src/lab/scale/cost_model.cpp
+++ b/src/lab/scale/cost_model.cpp
@@ -281,6 +281,13 @@
        {arithmetic(kClientsOfAGateway)},
        kClientReturn,
        "evenly over the spread"},
+      {Role::kClientLibrary,
+       Resource::kMessages,
+       "peak of connects a second after a lost gateway, over all others",
+       "",
+       {measured("loss.clients.peak_connects", "clients")},
+       kClientReturn,
+       "a gateway's clients are alike"},
       {Role::kClientLibrary, Resource::kProcessor, "cores", "", {}, kClientReturn, ""},
       {Role::kClientLibrary, Resource::kMemory, "resident", "MB", {}, kClientReturn, ""},
   };
