--- a/src/lab/scale/capacity_page.cpp
+++ b/src/lab/scale/capacity_page.cpp
@@ -152,7 +152,8 @@
   BreakingSize size;
 };
 
-// At a size first, the smallest before; then what holds as far as is known; then what is not known.
+// At a size first, the smallest before; then what holds as far as is known, or always; then what is not
+// known.
 bool breaks_before(const BreakingCheck& a, const BreakingCheck& b) {
   if (a.size.kind != b.size.kind) return a.size.kind < b.size.kind;
   return a.size.gateways < b.size.gateways;
@@ -228,13 +229,13 @@
   for (const Measurement& measurement : file.measurements) {
     const std::optional<HeldOutFit> held_out = fit_held_out(measurement.points);
     const std::string fixed = fixed_sizes_text(measurement);
-    rows.push_back(
-        {fmt::format("{}, {}", measurement.name, measurement.unit),
-         measurement.varied + (fixed.empty() ? "" : " (" + fixed + ")"), sizes_text(measurement),
-         values_text(measurement),
-         held_out ? fmt::format("{}: {}", form_name(held_out->fit.form), formula_text(held_out->fit, "n"))
-                  : "too few sizes",
-         held_out ? held_out_text(*held_out) : "-"});
+    rows.push_back({fmt::format("{}, {}", measurement.name, measurement.unit),
+                    measurement.varied + (fixed.empty() ? "" : " (" + fixed + ")"), sizes_text(measurement),
+                    values_text(measurement),
+                    held_out
+                        ? fmt::format("{}: {}", form_name(held_out->fit.form), formula_text(held_out->fit))
+                        : "too few sizes",
+                    held_out ? held_out_text(*held_out) : "-"});
   }
   if (rows.empty()) return "Nothing was measured yet.\n";
   return table_text({"what", "by", "sizes, the last held out", "values", "form and fit", "held out"}, rows);
--- a/src/lab/scale/command.cpp
+++ b/src/lab/scale/command.cpp
@@ -127,7 +127,7 @@
       continue;
     }
     fmt::print("  {}: {}; residual {:.1f} in 100; the largest is {:+.0f} in 100 off\n",
-               scale::form_name(held_out->fit.form), scale::formula_text(held_out->fit, m.varied),
+               scale::form_name(held_out->fit.form), scale::formula_text(held_out->fit),
                held_out->fit.residual * 100, held_out->miss * 100);
   }
 }
@@ -162,6 +162,8 @@
 int run_measurements(const CommandOptions& options, bool are_zones_given) {
   const std::string fault = scale::size_fault(options.scale, are_zones_given);
   if (!fault.empty()) throw BadOptions(fault);
+  if (options.scale.quick && !options.merge_into.empty())
+    throw BadOptions("--quick gives no figures to plan with: --merge-into takes none of them");
   if (!options.merge_into.empty()) file_to_merge_into(options.merge_into);  // before minutes are spent
   const scale::InterruptScope interrupts;
   try {
--- a/src/lab/scale/cost_model.h
+++ b/src/lab/scale/cost_model.h
@@ -93,8 +93,8 @@
 struct BreakingSize {
   enum class Kind {
     kAt,       // `gateways`
-    kNever,    // kept at every size up to kLargestFleet
     kBeyond,   // kept at every size that is known of, which ends at `gateways`
+    kNever,    // kept at every size up to kLargestFleet
     kUnknown,  // not measured
   };
   Kind kind = Kind::kUnknown;
--- a/src/lab/scale/quantity.cpp
+++ b/src/lab/scale/quantity.cpp
@@ -71,7 +71,7 @@
   Fit fit = held_out.fit;
   if (part == Part::kGrowth) fit.intercept = 0;
   out.value = fit.predict(size);
-  out.formula = formula_text(fit, number_text(size) + " " + varied);
+  out.formula = formula_text(fit, number_text(size), varied);
   if (!held_out.is_within_bound()) out.evidence.miss = held_out.miss;
 }
 
@@ -128,12 +128,13 @@
   return out;
 }
 
-std::string formula_text(const Fit& fit, const std::string& varied) {
+std::string formula_text(const Fit& fit, const std::string& size, const std::string& varied) {
   if (fit.form == Form::kConstant) return number_text(fit.intercept);
-  const char* const shape = fit.form == Form::kLogLinear   ? "n ln n of "
-                            : fit.form == Form::kQuadratic ? "square of "
-                                                           : "";
-  const std::string growth = fmt::format("{} x {}{}", number_text(std::abs(fit.slope)), shape, varied);
+  const std::string basis = fit.form == Form::kLogLinear   ? fmt::format("{0} ln {0}", size)
+                            : fit.form == Form::kQuadratic ? size + " squared"
+                                                           : size;
+  std::string growth = fmt::format("{} x {}", number_text(std::abs(fit.slope)), basis);
+  if (!varied.empty()) growth += " " + varied;
   if (fit.intercept == 0) return (fit.slope < 0 ? "-" : "") + growth;
   return fmt::format("{} {} {}", number_text(fit.intercept), fit.slope < 0 ? "-" : "+", growth);
 }
--- a/src/lab/scale/quantity.h
+++ b/src/lab/scale/quantity.h
@@ -61,8 +61,8 @@
 
 Evaluation evaluate(const Quantity& quantity, const CapacityFile& file, const FleetSize& fleet);
 
-// What the page says of a measurement's growth: "60.2 + 0.0123 x engines".
-std::string formula_text(const Fit& fit, const std::string& varied);
+// A fit with a size put in, "60.2 + 0.0123 x 1,100 engines", or left open, "60.2 + 0.0123 x n".
+std::string formula_text(const Fit& fit, const std::string& size = "n", const std::string& varied = "");
 
 // The held sizes of a measurement: "rate 1,364, zones 20"; empty: none.
 std::string fixed_sizes_text(const Measurement& measurement);
--- a/src/lab/scale/trouble.cpp
+++ b/src/lab/scale/trouble.cpp
@@ -36,12 +36,13 @@
 
 std::string moved_text(const MovedClients& moved) {
   return fmt::format(
-      "{} gateways gone: {} client connections go to {} others, {} to each, {} connects a second there over "
+      "{} gone: {} client connections go to {} others, {} to each, {} connects a second there over "
       "the "
       "clients' spread (assumed: drawn evenly); commands at each rise from {} to {} a second",
-      whole(moved.gateways_lost), whole(moved.connections_moved), whole(moved.survivors),
-      whole(moved.connections_per_survivor), number_text(moved.connects_per_second),
-      whole(moved.commands_per_second_before), whole(moved.commands_per_second_after));
+      moved.gateways_lost == 1 ? "a gateway" : whole(moved.gateways_lost) + " gateways",
+      whole(moved.connections_moved), whole(moved.survivors), whole(moved.connections_per_survivor),
+      number_text(moved.connects_per_second), whole(moved.commands_per_second_before),
+      whole(moved.commands_per_second_after));
 }
 
 std::string replaced_text(const FleetSize& fleet) {
--- a/tests/lab/capacity_test.cpp
+++ b/tests/lab/capacity_test.cpp
@@ -178,6 +178,13 @@
   EXPECT_EQ(number_text(-42), "-42");
 }
 
+TEST(Quantity, FormulasNameTheirForm) {
+  EXPECT_EQ(formula_text({Form::kConstant, 7, 0, 0}), "7");
+  EXPECT_EQ(formula_text({Form::kLinear, 60, 0.25, 0}, "1,100", "engines"), "60 + 0.25 x 1,100 engines");
+  EXPECT_EQ(formula_text({Form::kLogLinear, 0, 3, 0}), "3 x n ln n");
+  EXPECT_EQ(formula_text({Form::kQuadratic, 5, -0.5, 0}), "5 - 0.5 x n squared");
+}
+
 TEST(Quantity, IsNotKnownWhereATermWasNotMeasured) {
   const Evaluation evaluation = evaluate(
       {{SeriesQuery{"gateway.core_share", "connections"}, Part::kWhole, {"", nullptr}}}, sample_file(), {});
