Counts of what goes over a fleet's links; its options from the operator's section in one place

Need: the scale run measures control traffic by gateway, and a hollow gateway reads the same section of the operator's file.

Change: Fleet::link_counts() (frames, messages, bytes, connects, losses), fleet::terms_of(). No behaviour else.

Tests not run yet on this commit.

--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -72,6 +72,7 @@
     began_ = now;
     asked_at_ = 0;
     if (!owner_.loop_.room(false)) return end(now, "no descriptor left");
+    ++owner_.link_counts_.connects;
     link_ = std::make_unique<Dialled>(*this, SocketAddress(address_));
     if (link_->refused()) end(now, "refused");
   }
@@ -167,6 +168,19 @@
   proto::RpcFrames frames_{kFrameMost};
 };
 
+FleetTerms terms_of(const config::Operator::Fleet& section) {
+  FleetTerms terms;
+  terms.listen = section.listen;
+  terms.name = section.name();
+  terms.site = section.site;
+  terms.keepers = section.keepers;
+  std::sort(terms.keepers.begin(), terms.keepers.end());
+  terms.folder = section.folder;
+  terms.duties = section.duties;
+  terms.lease = section.lease_ms;
+  return terms;
+}
+
 Ms Fleet::clock() {
   timespec t{};
   ::clock_gettime(CLOCK_BOOTTIME, &t);
@@ -252,6 +266,7 @@
 }
 
 void Fleet::fault(std::string_view peer, std::string_view why) {
+  ++link_counts_.lost;
   counters_.add("fleet links ended", why);
   say_(log::Level::kWarning, "member.lost",
        {{"component", "fleet"}, {"peer", std::string(peer)}, {"why", std::string(why)}});
@@ -277,6 +292,9 @@
     peer = at != terms_.keepers.end() ? static_cast<Peer>(at - terms_.keepers.begin()) : last_peer_++;
     answers_to_[peer] = static_cast<From*>(&link);
   }
+  ++link_counts_.frames_in;
+  link_counts_.messages_in += frame->parts.size();
+  link_counts_.bytes_in += framed_size(body.size());
   const Ms at = clock();
   for (const Message& m : frame->parts)
     if (answers(m.say) == from_keeper) node_->hear(at, peer, m);
@@ -352,6 +370,9 @@
       std::string bytes;
       append_frame(bytes, frame);
       counters_.add("fleet frames sent");
+      ++link_counts_.frames_out;
+      link_counts_.messages_out += frame.parts.size();
+      link_counts_.bytes_out += bytes.size();
       const auto to =
           std::find_if(to_.begin(), to_.end(), [l = link](const auto& t) { return t && t->link() == l; });
       if (to != to_.end())
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -13,6 +13,7 @@
 #include <string>
 #include <vector>
 
+#include "config/operator.h"
 #include "core/core.h"
 #include "core/fleet_calls.h"
 #include "fleet/folder.h"
@@ -32,7 +33,18 @@
   std::vector<std::string> duties;   // names, or a kind as "trial:*", that this gateway is willing to hold
   Ms lease = 3000;
   size_t record_bytes = 32 * 1024 * 1024;  // of values that a keeper holds
-  uint64_t draw = 1;  // a chance of this start alone
+  uint64_t draw = 1;                       // a chance of this start alone
+};
+// Of what the operator's file says; its part of the memory and its draw are the caller's to give.
+FleetTerms terms_of(const config::Operator::Fleet& section);
+
+// What went over the links to peers since the start.
+struct LinkCounts {
+  uint64_t frames_in = 0, frames_out = 0;
+  uint64_t messages_in = 0, messages_out = 0;  // of the record, one or several a frame
+  uint64_t bytes_in = 0, bytes_out = 0;        // of frames with their heads
+  uint64_t connects = 0;                       // that this gateway has begun
+  uint64_t lost = 0;                           // links that were up, or frames on them that were broken
 };
 
 class Fleet : public Front, public FleetCalls {
@@ -49,6 +61,7 @@
   void leave(Ms now, Ms until);
   bool left(Ms now) const;  // nothing is open here, or it was waited for long enough
   void tell() const;        // duties and members, as events: for SIGUSR1
+  const LinkCounts& link_counts() const { return link_counts_; }
 
   // Answers of the core, for merges or else for the clients.
   void answer(CallRef call, std::string_view rows) override;
@@ -110,6 +123,7 @@
   Ms accepts_again_ = 0;
   Ms leaves_at_ = 0, leave_until_ = 0, quiet_since_ = 0;
   bool was_full_ = false, unwritten_ = false;
+  LinkCounts link_counts_;
 };
 
 }  // namespace firvalve::fleet
--- a/src/fleet/wire.cpp
+++ b/src/fleet/wire.cpp
@@ -63,6 +63,8 @@
   return read(*flatbuffers::GetRoot<Table>(data));
 }
 
+constexpr auto kHead = FMT_STRING("Content-Length: {}\r\n\r\n");
+
 }  // namespace
 
 void append_frame(std::string& out, const Frame& frame) {
@@ -95,10 +97,12 @@
   const auto name = b.CreateString(frame.from);
   const auto all = b.CreateVector(parts);
   b.Finish(wire::CreateFrame(b, kFrameVersion, name, frame.keepers, all));
-  fmt::format_to(std::back_inserter(out), "Content-Length: {}\r\n\r\n", b.GetSize());
+  fmt::format_to(std::back_inserter(out), kHead, b.GetSize());
   out.append(reinterpret_cast<const char*>(b.GetBufferPointer()), b.GetSize());
 }
 
+size_t framed_size(size_t body) { return fmt::formatted_size(kHead, body) + body; }
+
 std::optional<Frame> read_frame(std::span<const char> body, const char*& why) {
   why = "not a frame";
   return read<wire::Frame>({body.data(), body.size()}, [&why](const wire::Frame& in) -> std::optional<Frame> {
--- a/src/fleet/wire.h
+++ b/src/fleet/wire.h
@@ -24,6 +24,7 @@
 
 // Head and body, as on the front that clients use.
 void append_frame(std::string& out, const Frame& frame);
+size_t framed_size(size_t body);  // bytes of a frame with its head
 // None: `why` says so. Parts that a newer program says are passed over.
 std::optional<Frame> read_frame(std::span<const char> body, const char*& why);
 // Roughly what a message adds to a frame.
--- a/src/gateway/serve.cpp
+++ b/src/gateway/serve.cpp
@@ -3,7 +3,6 @@
 #include <fmt/format.h>
 #include <signal.h>
 
-#include <algorithm>
 #include <cstdlib>
 #include <fstream>
 #include <functional>
@@ -162,15 +161,7 @@
 };
 
 fleet::FleetTerms fleet_terms(const config::Operator::Fleet& wish, double memory) {
-  fleet::FleetTerms terms;
-  terms.listen = wish.listen;
-  terms.name = wish.name();
-  terms.site = wish.site;
-  terms.keepers = wish.keepers;
-  std::sort(terms.keepers.begin(), terms.keepers.end());
-  terms.folder = wish.folder;
-  terms.duties = wish.duties;
-  terms.lease = wish.lease_ms;
+  fleet::FleetTerms terms = fleet::terms_of(wish);
   terms.record_bytes = static_cast<size_t>(kRecordPart * memory);
   std::random_device device;
   terms.draw = (static_cast<uint64_t>(device()) << 32) | device();
