Hollow gateways for the scale run: real control paths, many to a process

Need: control traffic and changes are to be measured to 1,100 gateways on one machine.

The stand-in bus counts connections, lines and bytes, and may send a whole list.

--- /dev/null
+++ b/src/lab/scale/hollow_fleet.cpp
@@ -0,0 +1,202 @@
+#include "lab/scale/hollow_fleet.h"
+
+#include <fmt/format.h>
+#include <stdlib.h>
+#include <sys/resource.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <filesystem>
+#include <map>
+
+#include "standin/bus.h"
+
+namespace firvalve::lab::scale {
+namespace {
+
+constexpr int kProcessesMost = 290;         // of the 300 that a run may have
+constexpr int kDescriptorsPerGateway = 10;  // its reactor, waker, listener and bus, with room to spare
+constexpr int kDescriptorsPerProcess = 64;
+constexpr int kPort = 7400;
+constexpr size_t kHostDigits = 150;  // 100 to 249: all three digits long
+constexpr int kSettleLookMs = 100;
+
+int raise_descriptor_limit() {
+  rlimit limit{};
+  ::getrlimit(RLIMIT_NOFILE, &limit);
+  limit.rlim_cur = limit.rlim_max;
+  ::setrlimit(RLIMIT_NOFILE, &limit);
+  return static_cast<int>(std::min<rlim_t>(limit.rlim_cur, 1 << 30));
+}
+
+void check_sizes(const HollowFleetOptions& options) {
+  if (options.gateways <= 0) throw ScaleError("a fleet of no gateways");
+  if (options.keepers > options.gateways)
+    throw ScaleError(fmt::format("{} keepers of {} gateways", options.keepers, options.gateways));
+  if (options.zones <= 0 || options.zones > options.gateways)
+    throw ScaleError(fmt::format("{} zones for {} gateways", options.zones, options.gateways));
+  if (options.gateways_per_process <= 0) throw ScaleError("no gateways to a process");
+  if (options.duties < 0 || options.engines < 0 || options.keepers < 0) throw ScaleError("a size below zero");
+  const int processes = options.keepers + 1 + options.gateways / options.gateways_per_process + 1;
+  if (processes > kProcessesMost)
+    throw ScaleError(fmt::format("{} processes, more than {}", processes, kProcessesMost));
+}
+
+void check_descriptors(const HollowFleetOptions& options) {
+  const int most = raise_descriptor_limit();
+  const int at_keeper = options.gateways + options.keepers + kDescriptorsPerProcess;
+  const int at_group =
+      options.gateways_per_process * (options.keepers + kDescriptorsPerGateway) + kDescriptorsPerProcess;
+  const int wanted = std::max(
+      at_keeper, std::min(at_group, options.gateways * kDescriptorsPerGateway + kDescriptorsPerProcess));
+  if (wanted > most) throw ScaleError(fmt::format("{} descriptors in a process, of {}", wanted, most));
+}
+
+}  // namespace
+
+std::string loopback_address(size_t number) {
+  const size_t first = static_cast<size_t>(::getpid()) % kHostDigits;
+  return fmt::format("127.{}.{}.{}:{}", 100 + first, 100 + number / kHostDigits % kHostDigits,
+                     100 + number % kHostDigits, kPort);
+}
+
+std::string engine_listings(int first, int count, const std::string& state) {
+  std::string out;
+  for (int i = first; i < first + count; ++i)
+    out += fmt::format("{}{}", out.empty() ? "" : ",",
+                       standin::listing(fmt::format("s-{:08x}", i),
+                                        fmt::format("127.9.{}.{}:9042", i / 250, 1 + i % 250), state));
+  return out;
+}
+
+HollowFleet::HollowFleet(const HollowFleetOptions& options) : options_(options) {
+  check_sizes(options);
+  check_descriptors(options);
+  const auto keepers = static_cast<size_t>(options.keepers);
+  if (options.keeper_folders) {
+    char name[] = "/tmp/firvalve-hollow-XXXXXX";
+    if (!::mkdtemp(name)) throw ScaleError("no folder for the keepers");
+    folder_ = name;
+  }
+  HollowGatewayOptions common;
+  common.lease = options.lease;
+  if (options.engines > 0)
+    common.known_list = standin::topology(1, true, engine_listings(0, options.engines));
+  for (int i = 0; i < options.duties; ++i) common.duties.push_back(fmt::format("trial:s-{:08x}", i));
+  for (size_t i = 0; i < keepers; ++i) common.keepers.push_back(loopback_address(i));
+  if (options.bus) common.bus = bus_address_ = loopback_address(static_cast<size_t>(options.gateways));
+
+  std::vector<HollowProcessOptions> plan;
+  for (size_t i = 0; i < static_cast<size_t>(options.gateways); ++i) {
+    const bool keeper = i < keepers;  // each alone: it holds a connection to every gateway
+    const bool full =
+        !plan.empty() && plan.back().gateways.size() >= static_cast<size_t>(options.gateways_per_process);
+    if (keeper || i == keepers || full) plan.emplace_back();
+    HollowGatewayOptions gateway = common;
+    gateway.address = loopback_address(i);
+    gateway.site = fmt::format("z{}", zone(i));
+    gateway.seed = options.seed * 1000003 + i;
+    if (keeper && !folder_.empty()) gateway.folder = fmt::format("{}/{}", folder_, i);
+    members_.push_back({gateway.address, plan.size() - 1, plan.back().gateways.size()});
+    plan.back().gateways.push_back(std::move(gateway));
+  }
+  if (options.bus) {
+    plan.emplace_back();
+    plan.back().bus_address = bus_address_;
+  }
+  start_processes(std::move(plan));
+}
+
+HollowFleet::~HollowFleet() {
+  processes_.clear();
+  std::error_code ignored;
+  if (!folder_.empty()) std::filesystem::remove_all(folder_, ignored);
+}
+
+// The bus first: who finds none comes again up to a second later.
+void HollowFleet::start_processes(std::vector<HollowProcessOptions> plan) {
+  processes_.resize(plan.size());
+  const auto start = [&](size_t i) { processes_[i] = std::make_unique<HollowProcess>(std::move(plan[i])); };
+  if (options_.bus) {
+    start(plan.size() - 1);
+    processes_.back()->wait_ready();
+  }
+  const size_t others = plan.size() - (options_.bus ? 1 : 0);
+  for (size_t i = 0; i < others; ++i) start(i);
+  for (size_t i = 0; i < others; ++i) processes_[i]->wait_ready();
+}
+
+HollowFleet::Snapshot HollowFleet::snapshot() {
+  Snapshot out;
+  out.gateways.resize(members_.size());
+  std::vector<HollowProcessReport> reports(processes_.size());
+  for (const auto& process : processes_)
+    if (process->is_up()) process->ask_report();
+  for (size_t i = 0; i < processes_.size(); ++i) {
+    if (!processes_[i]->is_up()) continue;
+    reports[i] = processes_[i]->read_report();
+    out.resident_mb += reports[i].resident_mb;
+    out.cpu_us += reports[i].cpu_us;
+    ++out.processes;
+  }
+  if (options_.bus) out.bus = reports.back().bus;
+  for (size_t i = 0; i < members_.size(); ++i) {
+    std::vector<HollowGatewayReport>& of_process = reports[members_[i].process].gateways;
+    if (members_[i].place < of_process.size()) out.gateways[i] = std::move(of_process[members_[i].place]);
+  }
+  out.at = hollow_clock();
+  return out;
+}
+
+void HollowFleet::wait_settled(Ms longest) {
+  const Ms began = hollow_clock();
+  std::map<std::string, Ms> held_until;  // duties
+  for (;;) {
+    const Snapshot now = snapshot();
+    size_t ready_keepers = 0;
+    for (const HollowGatewayReport& gateway : now.gateways) {
+      ready_keepers += gateway.record_ready;
+      for (const DutyEvent& event : gateway.duty_events)
+        if (event.until > 0) held_until[event.duty] = std::max(held_until[event.duty], event.until);
+    }
+    const auto held = std::count_if(held_until.begin(), held_until.end(),
+                                    [&](const auto& duty) { return duty.second > now.at; });
+    const bool all_follow = !options_.bus || now.bus.connections_open == members_.size();
+    if (ready_keepers == static_cast<size_t>(options_.keepers) && held == options_.duties && all_follow)
+      return;
+    if (hollow_clock() > began + longest)
+      throw ScaleError(fmt::format(
+          "a fleet of {} has not settled within {:.0f} s: {} of {} keepers ready, {} of {} duties held, {} "
+          "follow the bus",
+          members_.size(), longest / 1000, ready_keepers, options_.keepers, held, options_.duties,
+          now.bus.connections_open));
+    ::usleep(kSettleLookMs * 1000);
+  }
+}
+
+void HollowFleet::for_each_process(const std::vector<size_t>& which,
+                                   void (HollowProcess::*act)(const std::vector<size_t>&)) {
+  std::map<size_t, std::vector<size_t>> places;  // by process
+  for (const size_t gateway : which) {
+    if (gateway >= members_.size()) throw ScaleError("no such gateway in the fleet");
+    places[members_[gateway].process].push_back(members_[gateway].place);
+  }
+  for (const auto& [process, in_it] : places) ((*processes_[process]).*act)(in_it);
+}
+
+void HollowFleet::kill_gateways(const std::vector<size_t>& which) {
+  for_each_process(which, &HollowProcess::kill_gateways);
+}
+void HollowFleet::start_gateways(const std::vector<size_t>& which) {
+  for_each_process(which, &HollowProcess::start_gateways);
+}
+void HollowFleet::end_gateways(const std::vector<size_t>& which) {
+  for_each_process(which, &HollowProcess::end_gateways);
+}
+
+void HollowFleet::announce(const std::string& listings, bool whole) {
+  if (!options_.bus) throw ScaleError("a fleet without an event bus");
+  processes_.back()->announce(listings, whole);
+}
+
+}  // namespace firvalve::lab::scale
--- /dev/null
+++ b/src/lab/scale/hollow_fleet.h
@@ -0,0 +1,82 @@
+// A fleet of hollow gateways over child processes, with their keepers and one event bus.
+#pragma once
+
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "lab/scale/hollow_process.h"
+#include "lab/scale/parts.h"
+
+namespace firvalve::lab::scale {
+
+struct HollowFleetOptions {
+  int gateways = 0;             // the keepers among them
+  int keepers = 3;              // 0: no fleet, the event bus alone
+  int duties = 0;               // that every gateway is willing to hold
+  int engines = 0;              // in the list that gateways know at their start
+  int zones = 1;                // gateway i stands in zone i % zones
+  bool bus = true;              // an event bus that all follow
+  bool keeper_folders = false;  // keepers keep what they promised on disk
+  Ms lease = 3000;
+  int gateways_per_process = 64;
+  uint64_t seed = 1;
+};
+
+class HollowFleet {
+ public:
+  // Plans the processes, raises the limit of descriptors to what the machine allows, starts all. Throws
+  // ScaleError: sizes that contradict one another, a port in use, too few descriptors.
+  explicit HollowFleet(const HollowFleetOptions& options);
+  ~HollowFleet();
+
+  // Until every keeper takes part, every duty has a holder and every gateway follows the bus; throws
+  // ScaleError when it takes longer than that.
+  void wait_settled(Ms longest);
+
+  struct Snapshot {
+    Ms at = 0;
+    std::vector<HollowGatewayReport> gateways;  // in the fleet's order, the keepers first
+    HollowBusReport bus;
+    double resident_mb = 0;  // of all processes
+    double cpu_us = 0;       // of all processes
+    size_t processes = 0;
+  };
+  Snapshot snapshot();
+
+  void kill_gateways(const std::vector<size_t>& which);  // by their numbers in the fleet
+  void start_gateways(const std::vector<size_t>& which);
+  void end_gateways(const std::vector<size_t>& which);     // in good order, as at SIGTERM
+  void announce(const std::string& listings, bool whole);  // at the event bus
+
+  size_t size() const { return members_.size(); }
+  const std::string& address(size_t gateway) const { return members_[gateway].address; }
+  const std::string& bus_address() const { return bus_address_; }
+  int zone(size_t gateway) const { return static_cast<int>(gateway) % options_.zones; }
+  const HollowFleetOptions& options() const { return options_; }
+  size_t process_of(size_t gateway) const { return members_[gateway].process; }
+  HollowProcess& process(size_t i) { return *processes_[i]; }
+  size_t processes() const { return processes_.size(); }
+
+ private:
+  struct Member {
+    std::string address;
+    size_t process = 0, place = 0;  // its place in that process's options
+  };
+  void for_each_process(const std::vector<size_t>& which,
+                        void (HollowProcess::*act)(const std::vector<size_t>&));
+  void start_processes(std::vector<HollowProcessOptions> plan);
+
+  const HollowFleetOptions options_;
+  std::string folder_;  // of keepers; empty: none
+  std::string bus_address_;
+  std::vector<Member> members_;
+  std::vector<std::unique_ptr<HollowProcess>> processes_;  // the bus's last
+};
+
+// The address of the n-th process of this run, all of one length: 127.x.y.z:port.
+std::string loopback_address(size_t number);
+// Engines `first` to `first + count - 1` as an event of the bus lists them.
+std::string engine_listings(int first, int count, const std::string& state = "SERVING");
+
+}  // namespace firvalve::lab::scale
--- /dev/null
+++ b/src/lab/scale/hollow_gateway.cpp
@@ -0,0 +1,268 @@
+#include "lab/scale/hollow_gateway.h"
+
+#include <Poco/Exception.h>
+#include <fmt/format.h>
+#include <pthread.h>
+#include <time.h>
+
+#include <chrono>
+#include <cstdlib>
+#include <functional>
+#include <future>
+#include <mutex>
+#include <thread>
+
+#include "config/operator.h"
+#include "core/articles.h"
+#include "fleet/fleet.h"
+#include "lab/scale/parts.h"
+#include "net/bus.h"
+#include "net/engines.h"
+#include "net/waker.h"
+
+namespace firvalve::lab::scale {
+namespace {
+
+// As the program itself has them where its settings do not say otherwise (gateway/serve.cpp).
+constexpr Ms kConnectMost = 250, kIdleClose = 15000;
+constexpr double kFirstAskPart = 0.1;  // of the grace for drains
+constexpr Ms kEndMost = 3000;          // for an end in good order
+constexpr std::chrono::milliseconds kEndLook{5};
+constexpr int kDescriptorsMost = 1 << 20;
+constexpr size_t kBufferBytesMost = size_t{64} << 20;
+
+constexpr const char* kSettings =
+    R"({"peers_total":1,"shapes":["std"],)"
+    R"("specifics":{"cores_by_kind":[8],"memory_by_kind_mb":[1000],"class_threads":[1]},)"
+    R"("ceilings":{"cancel":true,"try_limit":1,"dial_timeout":250000000,"conn_idle":15000000000},)"
+    R"("profiles":[{"name":"lookup","semantics":"idempotent","slo":800000000,"credit":1.0,)"
+    R"("deadline":4000000000}]})";
+
+Articles read_settings() {
+  rapidjson::Document settings;
+  settings.Parse(kSettings);
+  return articles_from(settings);
+}
+
+std::string json_list(const std::vector<std::string>& texts) {
+  std::string out;
+  for (const std::string& text : texts) out += fmt::format("{}\"{}\"", out.empty() ? "" : ",", text);
+  return "[" + out + "]";
+}
+
+// The section of the operator's file that a real gateway would have, by the real reader.
+config::Operator::Fleet read_fleet_section(const HollowGatewayOptions& options) {
+  std::string text = fmt::format(R"({{"fleet":{{"on":true,"site":"{}","listen":"{}","keepers":{},)",
+                                 options.site, options.address, json_list(options.keepers));
+  if (!options.reached_at.empty()) text += fmt::format(R"("reached_at":"{}",)", options.reached_at);
+  if (!options.folder.empty()) text += fmt::format(R"("folder":"{}",)", options.folder);
+  text += fmt::format(R"("lease_ms":{},"duties":{}}}}})", options.lease, json_list(options.duties));
+  const config::Reading reading = config::read_operator(text);
+  if (!reading.good())
+    throw ScaleError(fmt::format("hollow gateway {}: {}: {}", options.address, reading.faults[0].path,
+                                 reading.faults[0].text));
+  return reading.values.fleet;
+}
+
+class NoClients : public Front {
+ public:
+  void answer(CallRef, std::string_view) override {}
+  void shed(CallRef, Ms) override {}
+  void fail(CallRef, std::string_view) override {}
+  void answer_paged(CallRef, ShelfNo) override {}
+};
+
+double thread_cpu_us(pthread_t thread) {
+  clockid_t clock{};
+  timespec time{};
+  if (::pthread_getcpuclockid(thread, &clock) != 0 || ::clock_gettime(clock, &time) != 0) return 0;
+  return static_cast<double>(time.tv_sec) * 1e6 + static_cast<double>(time.tv_nsec) / 1e3;
+}
+
+}  // namespace
+
+Ms hollow_clock() {
+  timespec time{};
+  ::clock_gettime(CLOCK_BOOTTIME, &time);
+  return static_cast<double>(time.tv_sec) * 1e3 + static_cast<double>(time.tv_nsec) / 1e6;
+}
+
+struct HollowGateway::Running {
+  explicit Running(const HollowGatewayOptions& options)
+      : settings(read_settings()),
+        engines(loop, counters, {kConnectMost, kIdleClose}),
+        fleet(make_fleet(options)),
+        core(settings, options.seed, fleet ? static_cast<Front&>(*fleet) : no_clients, engines, counters,
+             [](const std::string&, const std::string&) {}) {
+    loop.limit(kDescriptorsMost, kBufferBytesMost);
+    engines.serve(core);
+    if (fleet) fleet->serve(core);
+    follow_list(options);
+    waker = std::make_unique<net::Waker>(loop, [this] { run_posted(); });
+    loop.on_turn = [this](Ms now) { return turn(now); };
+    thread = std::thread([this] { loop.run(); });
+  }
+  ~Running() {
+    post([this] { loop.stop(); });
+    thread.join();
+  }
+
+  HollowGatewayReport report() {
+    std::promise<HollowGatewayReport> promise;
+    post([&] { promise.set_value(report_now()); });
+    HollowGatewayReport out = promise.get_future().get();
+    out.cpu_us = thread_cpu_us(thread.native_handle());
+    return out;
+  }
+
+  void begin_end() {
+    post([this] {
+      if (fleet) fleet->leave(loop.now(), loop.now() + kEndMost);
+    });
+  }
+  bool has_left() {
+    std::promise<bool> promise;
+    post([&] { promise.set_value(!fleet || fleet->left(loop.now())); });
+    return promise.get_future().get();
+  }
+
+ private:
+  std::unique_ptr<fleet::Fleet> make_fleet(const HollowGatewayOptions& options) {
+    if (options.keepers.empty()) return nullptr;
+    const config::Operator::Fleet section = read_fleet_section(options);
+    fleet::FleetTerms terms = fleet::terms_of(section);
+    terms.draw = options.seed;
+    return std::make_unique<fleet::Fleet>(
+        loop, counters, terms, no_clients,
+        [this](log::Level, std::string_view event, log::Fields fields) { note(event, fields); });
+  }
+
+  void follow_list(const HollowGatewayOptions& options) {
+    int64_t last = 0;
+    if (!options.known_list.empty()) {
+      std::string line = options.known_list;
+      std::optional<proto::BusEvent> event = proto::read_bus_line(line);
+      if (!event) throw ScaleError("hollow gateway: its engine list cannot be read");
+      last = event->offset;
+      net::tell_roster(core, loop.now(), std::move(*event));
+    }
+    if (options.bus.empty()) return;
+    bus = std::make_unique<net::Bus>(loop, counters, options.bus, kConnectMost,
+                                     kFirstAskPart * number(settings, "drain grace"), options.seed);
+    bus->follow(core, last);
+  }
+
+  Ms turn(Ms now) {
+    if (bus) bus->due(now);
+    engines.due(now);
+    if (fleet) fleet->due(now);
+    if (const uint64_t updates = counters.counts["bus events"]; updates != list_updates) {
+      list_updates = updates;
+      list_updated_at = hollow_clock();
+    }
+    return sooner(sooner(bus ? bus->next_due() : 0, fleet ? fleet->next_due(now) : 0), engines.next_due());
+  }
+
+  void note(std::string_view event, log::Fields fields) {
+    using Kind = DutyEvent::Kind;
+    static constexpr std::pair<std::string_view, Kind> kKinds[] = {{"duty.taken", Kind::kTaken},
+                                                                   {"duty.renewed", Kind::kRenewed},
+                                                                   {"duty.left", Kind::kLeft},
+                                                                   {"duty.lost", Kind::kLost}};
+    if (event == "record.ready") record_ready = true;
+    for (const auto& [name, kind] : kKinds) {
+      if (event != name) continue;
+      DutyEvent& duty_event = duty_events.emplace_back();
+      duty_event.kind = kind;
+      for (const log::Field& field : fields) {
+        if (field.name == "duty") duty_event.duty = field.value;
+        if (field.name == "epoch") duty_event.epoch = std::strtoull(field.value.c_str(), nullptr, 10);
+        if (field.name == "at_ms") duty_event.at = std::strtod(field.value.c_str(), nullptr);
+        if (field.name == "until_ms") duty_event.until = std::strtod(field.value.c_str(), nullptr);
+      }
+    }
+  }
+
+  HollowGatewayReport report_now() {
+    HollowGatewayReport out;
+    out.is_up = true;
+    out.record_ready = record_ready;
+    if (fleet) {
+      const fleet::LinkCounts& counts = fleet->link_counts();
+      out.peers = {counts.frames_in, counts.frames_out, counts.messages_in, counts.messages_out,
+                   counts.bytes_in,  counts.bytes_out,  counts.connects};
+      out.links_lost = counts.lost;
+    }
+    out.list_updates = list_updates;
+    out.list_updated_at = list_updated_at;
+    out.bus_links_lost = counters.counts["bus connections lost"];
+    out.duty_events = std::exchange(duty_events, {});
+    return out;
+  }
+
+  void post(std::function<void()> task) {
+    const std::lock_guard lock(mutex);
+    posted.push_back(std::move(task));
+    waker->wake();
+  }
+
+  void run_posted() {
+    std::vector<std::function<void()>> tasks;
+    {
+      const std::lock_guard lock(mutex);
+      tasks.swap(posted);
+    }
+    for (const auto& task : tasks) task();
+  }
+
+  const Articles settings;
+  bool record_ready = false;
+  uint64_t list_updates = 0;
+  Ms list_updated_at = 0;
+  std::vector<DutyEvent> duty_events;
+  net::Loop loop;
+  Counters counters;
+  NoClients no_clients;
+  net::Engines engines;
+  std::unique_ptr<fleet::Fleet> fleet;
+  Core core;
+  std::unique_ptr<net::Bus> bus;
+  std::unique_ptr<net::Waker> waker;
+  std::mutex mutex;
+  std::vector<std::function<void()>> posted;
+  std::thread thread;
+};
+
+HollowGateway::HollowGateway(HollowGatewayOptions options) : options_(std::move(options)) {}
+
+HollowGateway::~HollowGateway() { kill(); }
+
+void HollowGateway::start() {
+  if (running_) return;
+  try {
+    running_ = std::make_unique<Running>(options_);
+  } catch (const ScaleError&) {
+    throw;
+  } catch (const Poco::Exception& error) {
+    throw ScaleError(fmt::format("hollow gateway {}: {}", options_.address, error.displayText()));
+  } catch (const std::exception& error) {
+    throw ScaleError(fmt::format("hollow gateway {}: {}", options_.address, error.what()));
+  }
+}
+
+void HollowGateway::begin_end() {
+  if (running_) running_->begin_end();
+}
+
+void HollowGateway::wait_ended() {
+  const Ms began = hollow_clock();
+  while (running_ && !running_->has_left() && hollow_clock() < began + kEndMost)
+    std::this_thread::sleep_for(kEndLook);
+  kill();
+}
+
+void HollowGateway::kill() { running_.reset(); }
+
+HollowGatewayReport HollowGateway::report() { return running_ ? running_->report() : HollowGatewayReport{}; }
+
+}  // namespace firvalve::lab::scale
--- a/src/standin/bus.cpp
+++ b/src/standin/bus.cpp
@@ -37,6 +37,8 @@
     const auto from =
         line.starts_with("from ") ? proto::whole_number(line.substr(5), 1LL << 40) : std::nullopt;
     inbox_.used(end + 1);
+    ++owner_.traffic_.lines_in;
+    owner_.traffic_.bytes_in += end + 1;
     if (!from) return owner_.connections_.end(this);
     owner_.serve(*this, *from);
   }
@@ -46,13 +48,14 @@
   Bus& owner_;
 };
 
-Bus::Bus(Host& host, int64_t last)
+Bus::Bus(Host& host, int64_t last, const std::string& address)
     : host_(host), connections_(host), first_(last), alive_(std::make_shared<bool>(true)) {
   host_.do_now([&] {
     listener_ = std::make_unique<Listener>(host_, [this](Poco::Net::StreamSocket socket) {
       connections_.add(std::make_unique<Connection>(*this, socket));
+      ++traffic_.connections_made;
     });
-    listener_->listen("127.0.0.1:0");
+    listener_->listen(address);
     address_ = listener_->address();
     tick();
   });
@@ -66,15 +69,30 @@
   });
 }
 
-void Bus::announce(const std::string& listings) {
+void Bus::announce(const std::string& listings, bool whole) {
   host_.do_now([&] {
     const int64_t number = first_ + static_cast<int64_t>(events_.size()) + 1;
-    events_.push_back(topology(number, false, listings) + "\n");
+    events_.push_back(topology(number, whole, listings) + "\n");
     for (Connection* const c : std::vector(followers_))
-      if (connections_.has(c)) c->write(events_.back());
+      if (connections_.has(c)) write(*c, events_.back());
   });
 }
 
+BusTraffic Bus::traffic() const {
+  BusTraffic out;
+  host_.do_now([&] {
+    out = traffic_;
+    out.connections_open = connections_.size();
+  });
+  return out;
+}
+
+void Bus::write(Connection& connection, const std::string& lines) {
+  traffic_.lines_out += static_cast<uint64_t>(std::count(lines.begin(), lines.end(), '\n'));
+  traffic_.bytes_out += lines.size();
+  connection.write(lines);
+}
+
 void Bus::say_first(std::string line) {
   host_.do_now([&] { say_first_ = std::move(line); });
 }
@@ -89,9 +107,9 @@
     const std::lock_guard lock(mutex_);
     asked_.push_back(from);
   }
-  connection.write(std::exchange(say_first_, {}));
+  write(connection, std::exchange(say_first_, {}));
   for (int64_t n = std::max(from, first_); n < first_ + static_cast<int64_t>(events_.size()); ++n)
-    connection.write(events_[static_cast<size_t>(n - first_)]);
+    write(connection, events_[static_cast<size_t>(n - first_)]);
   followers_.push_back(&connection);
 }
 
@@ -99,7 +117,7 @@
   std::erase_if(followers_, [&](Connection* c) { return !connections_.has(c); });
   const std::string line = fmt::format("{}\n", first_ + static_cast<int64_t>(events_.size()));
   for (Connection* const c : std::vector(followers_))
-    if (connections_.has(c)) c->write(line);
+    if (connections_.has(c)) write(*c, line);
   host_.after(kSecond, [this, alive = alive_] {
     if (*alive) tick();
   });
--- a/src/standin/bus.h
+++ b/src/standin/bus.h
@@ -14,20 +14,30 @@
 // One event, whole, as the bus and `known` of a gateway's configuration tell it.
 std::string topology(int64_t offset, bool full, const std::string& listings);
 
+// Over all connections since its start.
+struct BusTraffic {
+  uint64_t connections_open = 0, connections_made = 0;
+  uint64_t lines_in = 0, lines_out = 0;
+  uint64_t bytes_in = 0, bytes_out = 0;
+};
+
 // From any thread.
 class Bus {
  public:
-  explicit Bus(Host& host, int64_t last = 1);
+  explicit Bus(Host& host, int64_t last = 1, const std::string& address = "127.0.0.1:0");
   ~Bus();
   std::string address() const { return address_; }
-  void announce(const std::string& listings);  // the next event: what has changed
-  void say_first(std::string line);            // a line, as it is, before all else on the next connection
-  std::vector<int64_t> asked_from() const;     // the numbers that connections asked from, in order
+  // The next event: what has changed, or the whole list.
+  void announce(const std::string& listings, bool whole = false);
+  BusTraffic traffic() const;
+  void say_first(std::string line);         // a line, as it is, before all else on the next connection
+  std::vector<int64_t> asked_from() const;  // the numbers that connections asked from, in order
 
  private:
   class Connection;
   void tick();
   void serve(Connection& connection, int64_t from);
+  void write(Connection& connection, const std::string& lines);
 
   Host& host_;
   std::string address_;
@@ -40,6 +50,7 @@
   std::shared_ptr<bool> alive_;
   mutable std::mutex mutex_;
   std::vector<int64_t> asked_;
+  BusTraffic traffic_;  // the host's thread's
 };
 
 }  // namespace firvalve::standin
