--- /dev/null
+++ b/src/lab/scale/loss_fleet.h
@@ -0,0 +1,134 @@
+// A fleet of hollow gateways that parts can be taken from: processes that are killed, and regions that are
+// cut apart by the proxies through which all keepers are reached.
+#pragma once
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "lab/judge.h"
+#include "lab/scale/duty_view.h"
+#include "lab/scale/hollow_process.h"
+#include "lab/scale/parts.h"
+#include "lab/scale/region_proxy.h"
+#include "lab/scale/topology.h"
+
+namespace firvalve::lab::scale {
+
+struct LossFleetOptions {
+  TopologyOptions topology;
+  int duties = 20;  // that every gateway is willing to hold, and no keeper
+  Ms lease = 3000;
+  uint64_t seed = 1;
+};
+
+// Members are numbered: keepers first, then gateways. Gateways of one zone share a process, save one gateway
+// a region, which has a process to itself and holds duties first, and one rack.
+class LossFleet {
+ public:
+  // Starts all and waits until every duty is held and every gateway has been told so. Throws ScaleError.
+  LossFleet(const LossFleetOptions& options, const Progress& progress);
+  ~LossFleet();
+  LossFleet(const LossFleet&) = delete;
+  LossFleet& operator=(const LossFleet&) = delete;
+
+  const Topology& topology() const { return topology_; }
+  size_t keepers() const { return topology_.keepers().size(); }
+  size_t size() const { return names_.size(); }
+  size_t member_of_gateway(size_t gateway) const { return keepers() + gateway; }
+  const Place& place(size_t member) const;
+  std::vector<size_t> gateways_up() const;  // as members
+  // Names of gateways that are up, in these regions; all regions where there are none.
+  std::map<std::string, size_t> holders_up(const std::vector<size_t>& regions = {}) const;
+
+  // The rack that has a process of its own; its first gateway holds duties.
+  std::vector<size_t> separate_rack() const;  // as members
+  // Keepers and gateways of the zone that is lost whole.
+  std::vector<size_t> separate_zone() const;
+  std::vector<size_t> holders() const;  // by duty, as the newest claims name them; free duties left out
+  // The gateway with a process of its own that holds the most duties. Throws ScaleError: none holds any.
+  size_t busiest_holder() const;
+
+  // SIGKILL to all processes of these members, which must be whole processes; and the same started again.
+  void kill(const std::vector<size_t>& members);
+  void start(const std::vector<size_t>& members);
+  bool keeper_ready(size_t keeper);  // it takes part in the record
+  void set_cut(size_t region, size_t other_region, bool cut);
+
+  // Whether all of these gateways see every duty held by one of the holders, told since then.
+  bool is_served(const std::vector<size_t>& members, const std::map<std::string, size_t>& holders,
+                 Ms since) const {
+    return view_.is_served(members, holders, since);
+  }
+  void wait_served(Ms longest, const Progress& progress);
+  std::vector<KeeperTraffic> traffic() const;  // by keeper; throws ScaleError: a proxy has no descriptor left
+
+  // Takes in what all members have reported since the last time.
+  void collect_history();
+  // Members that may act for some duty at this moment, by their own reports.
+  std::vector<size_t> holders_now();
+  std::vector<FleetBreach> breaches();
+  size_t processes_up() const;
+  std::vector<pid_t> process_ids() const;
+
+ private:
+  struct Process {
+    std::vector<size_t> members;
+    HollowProcessOptions options;
+    std::unique_ptr<HollowProcess> child;  // none: it is down
+  };
+  void plan_processes(const LossFleetOptions& options);
+  void add_process(const std::vector<size_t>& members, const LossFleetOptions& options);
+  void start_proxies();
+  void launch(size_t first, size_t count);
+  void collect(Process& process);
+  void note(size_t member, const DutyEvent& event);
+
+  const Topology topology_;
+  std::vector<std::string> duties_;
+  std::vector<std::string> names_;         // of members
+  std::map<std::string, size_t> members_;  // by name
+  std::vector<Place> places_;
+  std::vector<std::string> keeper_addresses_;  // where they listen themselves
+  DutyView view_;
+  std::vector<std::unique_ptr<RegionProxy>> proxies_;  // by keeper
+  std::vector<Process> processes_;                     // of keepers, of first holders, of all others
+  std::vector<size_t> process_of_;                     // by member
+  FleetHistory history_;
+};
+
+// A rate of the keeper that has the most of it.
+struct TrafficRate {
+  double messages = 0, bytes = 0, connects = 0;  // a second
+};
+
+// Samples the traffic of all keepers over sliding windows of a second.
+class TrafficMeter {
+ public:
+  explicit TrafficMeter(const LossFleet& fleet) : fleet_(fleet) { sample(); }
+  void sample();  // does nothing within 100 ms of the last
+  // From here on peaks and sums are counted.
+  void restart();
+  const TrafficRate& peak() const { return peak_; }
+  const TrafficRate& last_second() const { return last_second_; }
+  // All keepers together, at each sample since the restart.
+  struct Sum {
+    Ms at = 0;
+    KeeperTraffic traffic;
+  };
+  const std::vector<Sum>& sums() const { return sums_; }
+
+ private:
+  struct Sample {
+    Ms at = 0;
+    std::vector<KeeperTraffic> keepers;
+  };
+  const LossFleet& fleet_;
+  std::vector<Sample> samples_;
+  std::vector<Sum> sums_;
+  TrafficRate peak_, last_second_;
+};
+
+}  // namespace firvalve::lab::scale
