--- a/src/lab/scale/loss_fleet.cpp
+++ b/src/lab/scale/loss_fleet.cpp
@@ -35,7 +35,6 @@
 KeeperTraffic sum_of(const std::vector<KeeperTraffic>& keepers) {
   KeeperTraffic sum;
   for (const KeeperTraffic& keeper : keepers) {
-    sum.frames += keeper.frames;
     sum.messages += keeper.messages;
     sum.bytes += keeper.bytes;
     sum.connects += keeper.connects;
--- a/src/lab/scale/loss_run.cpp
+++ b/src/lab/scale/loss_run.cpp
@@ -48,7 +48,7 @@
 }
 
 std::string machine_text() {
-  std::string word, line;
+  std::string word;
   double kilobytes = 0;
   std::ifstream("/proc/meminfo") >> word >> kilobytes;
   return fmt::format("{} cores, {:.0f} GB", std::thread::hardware_concurrency(), kilobytes / 1024 / 1024);
--- a/src/lab/scale/loss_trial.cpp
+++ b/src/lab/scale/loss_trial.cpp
@@ -92,9 +92,11 @@
   void watch_until(const char* what, Ms longest, Condition&& is_reached) {
     const Ms began = hollow_clock();
     while (!is_reached()) {
-      if (hollow_clock() > began + longest)
+      if (hollow_clock() > began + longest) {
+        fleet_.collect_history();  // says so where a process has died
         throw ScaleError(fmt::format("after a loss ({}) a fleet of {} was not {} within {:.0f} s",
                                      name_of(result_.kind), fleet_.size(), what, longest / 1000));
+      }
       look();
     }
   }
--- a/src/lab/scale/region_proxy.cpp
+++ b/src/lab/scale/region_proxy.cpp
@@ -186,7 +186,6 @@
     if (!frame) continue;
     if (side.is_gateway && !connection.member) connection.member = options_.member_of(frame->from);
     if (connection.member && cut_[options_.region_of(*connection.member)]) return;
-    ++frames_;
     messages_ += frame->parts.size();
     if (side.is_gateway || !connection.member || !options_.on_answer) continue;
     for (const record::Message& message : frame->parts) options_.on_answer(*connection.member, message);
--- a/src/lab/scale/region_proxy.h
+++ b/src/lab/scale/region_proxy.h
@@ -18,7 +18,6 @@
 
 // Both directions, since the proxy's start.
 struct KeeperTraffic {
-  uint64_t frames = 0;  // writes of a peer
   uint64_t messages = 0;
   uint64_t bytes = 0;
   uint64_t connects = 0;  // accepted
@@ -47,7 +46,7 @@
   void set_cut(size_t region, bool cut) { cut_[region] = cut; }
   // While the keeper is down its address refuses connections, as that of a machine without its process.
   void set_listening(bool listening) { listening_wanted_ = listening; }
-  KeeperTraffic traffic() const { return {frames_, messages_, bytes_, connects_}; }
+  KeeperTraffic traffic() const { return {messages_, bytes_, connects_}; }
   bool out_of_descriptors() const { return out_of_descriptors_; }
 
  private:
@@ -69,7 +68,7 @@
   int listener_ = -1, epoll_ = -1;
   std::map<Connection*, std::unique_ptr<Connection>> connections_;
   std::vector<std::unique_ptr<Connection>> closed_;  // until the events of one wait have been gone through
-  std::atomic<uint64_t> frames_{0}, messages_{0}, bytes_{0}, connects_{0};
+  std::atomic<uint64_t> messages_{0}, bytes_{0}, connects_{0};
   std::atomic<bool> stopping_{false}, out_of_descriptors_{false}, listening_wanted_{true};
   std::thread thread_;
 };
--- a/tests/lab/scale_loss_test.cpp
+++ b/tests/lab/scale_loss_test.cpp
@@ -65,6 +65,15 @@
 
 TEST_F(LossTest, PartOfAProcessCannotBeLost) { EXPECT_THROW(fleet_->kill({fleet_->size() - 1}), ScaleError); }
 
+TEST_F(LossTest, ProcessThatDiesIsTold) {
+  ::kill(fleet_->process_ids().back(), SIGKILL);
+  EXPECT_THROW(fleet_->collect_history(), ScaleError);
+}
+
+TEST_F(LossTest, AddressInUseIsTold) {
+  EXPECT_THROW(LossFleet(LossFleetOptions{kSmall, 6, 1000, 1}, kQuiet), ScaleError);
+}
+
 TEST(Topology, SpreadsGatewaysOverZonesAndZonesOverRegions) {
   const Topology topology({.gateways = 1100, .regions = 6, .zones = 20, .keepers = 5});
   for (size_t zone = 0; zone < 20; ++zone) EXPECT_EQ(topology.gateways_in_zone(zone).size(), 55u);
