Scale run: control at rest and changes, by gateways, duties, keepers and engines

Need: what control costs each role by size, and how long a change takes to be in force everywhere.

Change: the control part of firvalve-lab scale. At rest: messages, bytes and CPU at a gateway that holds nothing, of a held duty, at keepers and the event bus. Changes of the list: times from the bus's acceptance, bytes and CPU of a difference and of a whole list. Changes of configuration at processes of the program. Tests by counts: traffic by fleet size (virtual time), a difference's bytes, hollow against real, bad input. The stand-in bus speaks each second as the platform's does, {"offset":N}.

No figures to plan with yet.

--- a/src/lab/fleet_world.cpp
+++ b/src/lab/fleet_world.cpp
@@ -33,6 +33,7 @@
 
   FleetOutcome play() {
     nodes_.resize(o_.gateways);
+    out_.heard.resize(o_.gateways);
     for (uint32_t n = 0; n < o_.gateways; ++n) {
       Gateway& g = nodes_[n];
       g.rate = 1 + o_.drift * (uniform() - 0.5);
@@ -78,7 +79,7 @@
     std::optional<record::Standing> standing;
     std::map<std::string, record::Slot> slots;
     std::map<std::string, HeldSpan> open;  // by duty
-    uint64_t last_seen = 0;        // the change that its reader saw last
+    uint64_t last_seen = 0;                // the change that its reader saw last
     Ms stalled_at = 0;
   };
   struct Carried {
@@ -167,6 +168,10 @@
   void carry(uint32_t from, uint32_t to, std::shared_ptr<const Message> message, std::string duty = {},
              uint64_t epoch = 0) {
     ++out_.messages;
+    if (message) {  // none: an act of a holder, which is of this world alone
+      ++out_.heard[to].messages;
+      out_.heard[to].facts += message->entries.size();
+    }
     if (!passes(from, to) || uniform() < o_.lost) return;
     const int copies = uniform() < o_.repeated ? 2 : 1;
     for (int i = 0; i < copies; ++i) {
--- a/src/lab/fleet_world.h
+++ b/src/lab/fleet_world.h
@@ -42,7 +42,14 @@
   uint32_t readers = 2;     // gateways that read and change one fact of the record again and again
 };
 
+// What was sent to one gateway by others, of the record.
+struct FleetHeard {
+  uint64_t messages = 0;
+  uint64_t facts = 0;  // that these messages carried
+};
+
 struct FleetOutcome {
+  std::vector<FleetHeard> heard;  // by gateway
   FleetHistory history;
   std::vector<FleetBreach> breaches;
   uint64_t hash = 0;  // of the whole history
--- /dev/null
+++ b/src/lab/scale/control_changes.cpp
@@ -0,0 +1,272 @@
+// Changes: of the engine list, followed by hollow gateways; of the configuration, read by real ones.
+#include <fmt/format.h>
+#include <signal.h>
+
+#include <algorithm>
+#include <chrono>
+#include <cmath>
+#include <filesystem>
+#include <memory>
+#include <thread>
+
+#include "lab/scale/control_series.h"
+#include "standin/fleet.h"
+#include "standin/process.h"
+
+namespace firvalve::lab::scale {
+namespace {
+
+constexpr Ms kSettleMost = 120000;
+constexpr Ms kInForceMost = 30000;  // for a change; the size to design for allows 13 s
+constexpr Ms kBetweenChanges = 250;
+constexpr Ms kPollEvery = 1;
+constexpr int kChanges = 20;  // of the list, at each size
+constexpr int kChangesQuick = 4;
+constexpr int kGatewaysHeld = 64;  // where engines are varied
+constexpr int kGatewaysHeldQuick = 16;
+constexpr int kEnginesHeld = 50;  // where gateways are varied
+constexpr int kEnginesOfReal = 2;
+constexpr uint64_t kSeedStep = 0x9e3779b97f4a7c15;  // between the seeds of gateways: far apart in all bits
+
+void sleep_ms(Ms span) { std::this_thread::sleep_for(std::chrono::duration<double, std::milli>(span)); }
+
+// By nearest rank.
+double quantile(std::vector<double> values, double part) {
+  if (values.empty()) throw ScaleError("no times were measured");
+  std::sort(values.begin(), values.end());
+  const auto rank = static_cast<size_t>(std::ceil(part * static_cast<double>(values.size())));
+  return values[std::max<size_t>(rank, 1) - 1];
+}
+
+// Times from acceptance to in force, at all gateways and over several changes.
+struct InForce {
+  std::vector<double> each;
+  std::vector<double> last;  // the last gateway of each change
+  void add(const std::vector<double>& of_change) {
+    each.insert(each.end(), of_change.begin(), of_change.end());
+    last.push_back(*std::max_element(of_change.begin(), of_change.end()));
+  }
+};
+
+void add_times(Series& series, const std::string& name, double size, const InForce& times) {
+  series.add(name + ".in_force_median", "ms", size, quantile(times.each, 0.5));
+  series.add(name + ".in_force_99", "ms", size, quantile(times.each, 0.99));
+  series.add(name + ".in_force_last", "ms", size, quantile(times.last, 1));
+}
+
+struct ListChange {
+  InForce times;
+  double bytes_per_gateway = 0;  // of one change, the bus's word of each second left out
+  double gateway_cpu_us = 0;     // of one change, beyond what the same span costs at rest
+  double bus_cpu_us = 0;         // the same at the bus, for all gateways
+};
+
+std::vector<double> wait_in_force(HollowFleet& fleet, uint64_t updates) {
+  const Ms began = hollow_clock();
+  for (;;) {
+    sleep_ms(kBetweenChanges);
+    const HollowFleet::Snapshot now = fleet.snapshot();
+    const bool all = std::all_of(now.gateways.begin(), now.gateways.end(),
+                                 [&](const auto& gateway) { return gateway.list_updates == updates; });
+    if (!all && hollow_clock() > began + kInForceMost)
+      throw ScaleError(
+          fmt::format("a change of the list is not in force at all of {} gateways after {:.0f} s",
+                      fleet.size(), kInForceMost / 1000));
+    if (!all) continue;
+    std::vector<double> times;
+    for (const HollowGatewayReport& gateway : now.gateways)
+      times.push_back(gateway.list_updated_at - now.bus.accepted_at);
+    return times;
+  }
+}
+
+double gateways_cpu_us(const HollowFleet::Snapshot& snapshot) {
+  double total = 0;
+  for (const HollowGatewayReport& gateway : snapshot.gateways) total += gateway.cpu_us;
+  return total;
+}
+
+// `change(i)` gives the listings of the i-th change; its first one has been announced `before` times.
+template <class Change>
+ListChange measure_list_change(HollowFleet& fleet, int changes, bool whole, uint64_t& updates,
+                               const Change& change) {
+  ListChange out;
+  for (int i = 0; i < changes; ++i) {
+    fleet.announce(change(i), whole);
+    out.times.add(wait_in_force(fleet, ++updates));
+  }
+  // The costs are of changes alone: no look in between, against the same span without any.
+  const Ms span = changes * kBetweenChanges;
+  const HollowFleet::Snapshot begun = fleet.snapshot();
+  sleep_ms(span);
+  const HollowFleet::Snapshot rested = fleet.snapshot();
+  const uint64_t lines_before = rested.bus.lines_out, bytes_before = rested.bus.bytes_out;
+  for (int i = 0; i < changes; ++i) {
+    fleet.announce(change(i), whole);
+    ++updates;
+    sleep_ms(kBetweenChanges);
+  }
+  const HollowFleet::Snapshot changed = fleet.snapshot();
+  wait_in_force(fleet, updates);
+  const auto gateways = static_cast<double>(fleet.size());
+  const double rest_part = (changed.at - rested.at) / (rested.at - begun.at);
+  const double words =
+      static_cast<double>(changed.bus.lines_out - lines_before) - static_cast<double>(changes) * gateways;
+  const double word_bytes = static_cast<double>(rested.bus.bytes_out - begun.bus.bytes_out) /
+                            std::max(1.0, static_cast<double>(rested.bus.lines_out - begun.bus.lines_out));
+  const double change_bytes = static_cast<double>(changed.bus.bytes_out - bytes_before) - words * word_bytes;
+  out.bytes_per_gateway = change_bytes / gateways / changes;
+  const double rest_cpu = (gateways_cpu_us(rested) - gateways_cpu_us(begun)) * rest_part;
+  out.gateway_cpu_us = (gateways_cpu_us(changed) - gateways_cpu_us(rested) - rest_cpu) / gateways / changes;
+  const double bus_rest_cpu = (rested.bus.cpu_us - begun.bus.cpu_us) * rest_part;
+  out.bus_cpu_us = (changed.bus.cpu_us - rested.bus.cpu_us - bus_rest_cpu) / changes;
+  return out;
+}
+
+void add_change(Series& series, const std::string& name, double size, const ListChange& change) {
+  add_times(series, name, size, change.times);
+  series.add(name + ".bytes_per_gateway", "bytes", size, change.bytes_per_gateway);
+  series.add(name + ".gateway_cpu", "us", size, change.gateway_cpu_us);
+  series.add(name + ".bus_cpu", "us", size, change.bus_cpu_us);
+}
+
+// One engine drains, and serves again with the next change.
+std::string one_engine(int change) { return engine_listings(0, 1, change % 2 == 0 ? "DRAINING" : "SERVING"); }
+
+HollowFleetOptions fleet_options(const ScaleOptions& options, int gateways, int engines) {
+  HollowFleetOptions out;
+  out.gateways = gateways;
+  out.keepers = options.keepers;
+  out.engines = engines;
+  out.zones = std::min(options.zones, gateways);
+  out.seed = options.seed;
+  return out;
+}
+
+std::vector<Measurement> by_gateways(const ScaleOptions& options, const Progress& progress) {
+  const int changes = options.quick ? kChangesQuick : kChanges;
+  Series series(options, "gateways",
+                {{"engines", kEnginesHeld}, {"keepers", options.keepers}, {"changes", changes}});
+  for (const int gateways :
+       sizes_of(options.gateways, options.quick, {32, 64, 128, 256, 512, 1100}, {8, 12, 16, 20, 24, 32})) {
+    progress(fmt::format("a change of the engine list: {} gateways", gateways));
+    HollowFleet fleet(fleet_options(options, gateways, kEnginesHeld));
+    fleet.wait_settled(kSettleMost);
+    uint64_t updates = 0;
+    add_change(series, "list_difference", gateways,
+               measure_list_change(fleet, changes, false, updates, one_engine));
+  }
+  return series.take();
+}
+
+std::vector<Measurement> by_engines(const ScaleOptions& options, const Progress& progress) {
+  const int changes = options.quick ? kChangesQuick : kChanges;
+  const int gateways = options.quick ? kGatewaysHeldQuick : kGatewaysHeld;
+  Series series(options, "engines",
+                {{"gateways", gateways}, {"keepers", options.keepers}, {"changes", changes}});
+  for (const int engines :
+       sizes_of(options.engines, options.quick, {50, 100, 200, 400, 800, 1100}, {10, 20, 30, 40, 50, 60})) {
+    progress(fmt::format("a change of the engine list: {} engines", engines));
+    HollowFleet fleet(fleet_options(options, gateways, engines));
+    fleet.wait_settled(kSettleMost);
+    uint64_t updates = 0;
+    add_change(series, "list_difference", engines,
+               measure_list_change(fleet, changes, false, updates, one_engine));
+    add_change(series, "list_whole", engines,
+               measure_list_change(fleet, changes, true, updates, [&](int change) {
+                 return one_engine(change) + "," + engine_listings(1, engines - 1);
+               }));
+  }
+  return series.take();
+}
+
+// Real gateways, each with a configuration file of its own.
+class RealGateways {
+ public:
+  RealGateways(int count, const std::string& bus_before, const std::string& bus_after)
+      : before_(bus_before), after_(bus_after) {
+    const std::string program = sibling_program("firvalve");
+    if (!std::filesystem::exists(program)) throw ScaleError(program + ": no such program");
+    for (const std::string& address : standin::free_addresses(static_cast<size_t>(count))) {
+      configs_.push_back(with_seed(engines_.config(address), configs_.size()));
+      addresses_.push_back(address);
+      processes_.push_back(std::make_unique<standin::Process>(program, with_bus(configs_.back(), before_),
+                                                              std::vector<std::string>{}, "/dev/null"));
+    }
+    for (const std::string& address : addresses_)
+      if (!standin::Process::listens(address)) throw ScaleError("a gateway does not come up at " + address);
+  }
+  void change_bus() {
+    for (size_t i = 0; i < processes_.size(); ++i) {
+      processes_[i]->rewrite(with_bus(configs_[i], after_));
+      processes_[i]->signal(SIGHUP);
+    }
+  }
+
+ private:
+  std::string with_bus(std::string config, const std::string& bus) const {
+    const std::string own = engines_.bus().address();
+    config.replace(config.find(own), own.size(), bus);
+    return config;
+  }
+
+  // Each gateway has a seed of its own: by it they draw when they come to the new bus.
+  static std::string with_seed(std::string config, size_t number) {
+    constexpr std::string_view kField = R"("seed":")";
+    const size_t at = config.find(kField) + kField.size();
+    config.replace(at, config.find('"', at) - at, fmt::format("{:016x}", (number + 1) * kSeedStep));
+    return config;
+  }
+
+  const std::string before_, after_;
+  standin::Fleet engines_{kEnginesOfReal};
+  std::vector<std::string> configs_, addresses_;
+  std::vector<std::unique_ptr<standin::Process>> processes_;
+};
+
+void wait_followed(const standin::Bus& bus, size_t gateways) {
+  for (const Ms began = hollow_clock(); bus.asked_from().size() < gateways; sleep_ms(kPollEvery))
+    if (hollow_clock() > began + kInForceMost)
+      throw ScaleError(fmt::format("{} of {} gateways have come to the event bus within {:.0f} s",
+                                   bus.asked_from().size(), gateways, kInForceMost / 1000));
+}
+
+// From the first file's write to the moment that the new bus was asked, for each.
+std::vector<double> measure_bus_change(int gateways) {
+  standin::Host host;
+  const standin::Bus before(host), after(host);
+  RealGateways processes(gateways, before.address(), after.address());
+  wait_followed(before, static_cast<size_t>(gateways));
+  const Ms written = hollow_clock();
+  processes.change_bus();
+  std::vector<double> times;
+  while (times.size() < static_cast<size_t>(gateways)) {
+    const size_t asked = after.asked_from().size();
+    while (times.size() < asked) times.push_back(hollow_clock() - written);
+    if (hollow_clock() > written + kInForceMost) wait_followed(after, static_cast<size_t>(gateways));
+    sleep_ms(kPollEvery);
+  }
+  return times;
+}
+
+}  // namespace
+
+std::vector<Measurement> measure_list_changes(const ScaleOptions& options, const Progress& progress) {
+  std::vector<Measurement> all = by_gateways(options, progress);
+  for (Measurement& one : by_engines(options, progress)) all.push_back(std::move(one));
+  return all;
+}
+
+std::vector<Measurement> measure_configuration_changes(const ScaleOptions& options,
+                                                       const Progress& progress) {
+  Series series(options, "processes", {{"engines", kEnginesOfReal}});
+  for (const int gateways : sizes_of({}, options.quick, {2, 4, 8, 16, 24, 48}, {1, 2, 3, 4, 5, 6})) {
+    progress(fmt::format("a change of configuration: {} processes of the program", gateways));
+    InForce times;
+    times.add(measure_bus_change(gateways));
+    add_times(series, "configuration", gateways, times);
+  }
+  return series.take();
+}
+
+}  // namespace firvalve::lab::scale
--- /dev/null
+++ b/src/lab/scale/control_rest.cpp
@@ -0,0 +1,211 @@
+// Control at rest: nothing changes but the leases of duties, which are renewed.
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <chrono>
+#include <map>
+#include <set>
+#include <thread>
+
+#include "lab/scale/control_series.h"
+
+namespace firvalve::lab::scale {
+namespace {
+
+constexpr Ms kSettleMost = 120000;
+constexpr Ms kWarmUp = 3000;  // after a fleet has settled: what was late at its start has ended
+constexpr int kEnginesListed = 50;
+constexpr int kGatewaysHeld = 128;  // where another size is varied
+constexpr int kGatewaysHeldQuick = 32;
+
+// A second of one role.
+struct Rate {
+  double messages = 0;  // frames on the wire, in and out
+  double bytes_in = 0, bytes_out = 0;
+  double cpu_us = 0;
+  Rate& operator+=(const Rate& other) {
+    messages += other.messages;
+    bytes_in += other.bytes_in;
+    bytes_out += other.bytes_out;
+    cpu_us += other.cpu_us;
+    return *this;
+  }
+  Rate times(double factor) const {
+    return {messages * factor, bytes_in * factor, bytes_out * factor, cpu_us * factor};
+  }
+};
+
+struct RestSample {
+  Rate follower;   // mean over gateways that hold no duty and are no keeper
+  Rate held_duty;  // what a duty costs its holder beyond that; mean over duties held by others than keepers
+  bool has_held_duty = false;
+  Rate keeper;          // mean
+  Rate busiest_keeper;  // by bytes sent
+  Rate bus;
+  double record_messages_per_gateway = 0;  // sent by all, over the number of gateways
+  Ms settled_after = 0;                    // from all started until every duty has a holder
+  double messages_until_settled = 0;       // of the record, that came to the keeper to which most came
+  double resident_mb = 0;                  // of all processes; its slope by gateways is what one needs
+};
+
+void sleep_ms(Ms span) { std::this_thread::sleep_for(std::chrono::duration<double, std::milli>(span)); }
+
+Rate rate_between(const HollowGatewayReport& before, const HollowGatewayReport& after, double seconds) {
+  const auto per_second = [seconds](uint64_t from, uint64_t to) {
+    return static_cast<double>(to - from) / seconds;
+  };
+  Rate rate;
+  rate.messages = per_second(before.peers.frames_in, after.peers.frames_in) +
+                  per_second(before.peers.frames_out, after.peers.frames_out);
+  rate.bytes_in = per_second(before.peers.bytes_in, after.peers.bytes_in);
+  rate.bytes_out = per_second(before.peers.bytes_out, after.peers.bytes_out);
+  rate.cpu_us = (after.cpu_us - before.cpu_us) / seconds;
+  return rate;
+}
+
+Rate bus_rate_between(const HollowBusReport& before, const HollowBusReport& after, double seconds) {
+  Rate rate;
+  rate.messages = static_cast<double>(after.lines_in + after.lines_out - before.lines_in - before.lines_out);
+  rate.bytes_in = static_cast<double>(after.bytes_in - before.bytes_in);
+  rate.bytes_out = static_cast<double>(after.bytes_out - before.bytes_out);
+  rate.cpu_us = after.cpu_us - before.cpu_us;
+  return rate.times(1 / seconds);
+}
+
+size_t duties_held(const HollowGatewayReport& report) {
+  std::set<std::string> held;
+  for (const DutyEvent& event : report.duty_events) held.insert(event.duty);
+  return held.size();
+}
+
+void check_nothing_changed(const HollowFleet::Snapshot& before, const HollowFleet::Snapshot& after) {
+  for (size_t i = 0; i < after.gateways.size(); ++i)
+    if (!after.gateways[i].is_up || after.gateways[i].links_lost != before.gateways[i].links_lost)
+      throw ScaleError(
+          "control at rest: links between gateways were lost meanwhile; is the machine too busy?");
+}
+
+RestSample sample_of(const HollowFleet& fleet, const HollowFleet::Snapshot& before,
+                     const HollowFleet::Snapshot& after) {
+  check_nothing_changed(before, after);
+  const double seconds = (after.at - before.at) / 1000;
+  const auto keepers = static_cast<size_t>(fleet.options().keepers);
+  RestSample out;
+  Rate holders;
+  size_t followers = 0, holder_count = 0, held = 0;
+  double record_messages = 0;
+  for (size_t i = 0; i < after.gateways.size(); ++i) {
+    const HollowGatewayReport& now = after.gateways[i];
+    const Rate rate = rate_between(before.gateways[i], now, seconds);
+    record_messages +=
+        static_cast<double>(now.peers.messages_out - before.gateways[i].peers.messages_out) / seconds;
+    if (i < keepers) {
+      out.keeper += rate.times(1.0 / static_cast<double>(keepers));
+      if (rate.bytes_out > out.busiest_keeper.bytes_out) out.busiest_keeper = rate;
+    } else if (const size_t duties = duties_held(now); duties > 0) {
+      holders += rate;
+      ++holder_count;
+      held += duties;
+    } else {
+      out.follower += rate;
+      ++followers;
+    }
+  }
+  if (followers == 0)
+    throw ScaleError(fmt::format("{} duties at {} gateways: none is left that holds none",
+                                 fleet.options().duties, after.gateways.size()));
+  out.follower = out.follower.times(1.0 / static_cast<double>(followers));
+  out.has_held_duty = held > 0;
+  if (out.has_held_duty) {
+    holders += out.follower.times(-static_cast<double>(holder_count));
+    out.held_duty = holders.times(1.0 / static_cast<double>(held));
+  }
+  out.bus = bus_rate_between(before.bus, after.bus, seconds);
+  const auto count = static_cast<double>(after.gateways.size());
+  out.record_messages_per_gateway = record_messages / count;
+  out.resident_mb = after.resident_mb;
+  // Each hears its own part of what the bus says.
+  out.follower.messages += out.bus.messages / count;
+  out.follower.bytes_in += out.bus.bytes_out / count;
+  out.follower.bytes_out += out.bus.bytes_in / count;
+  return out;
+}
+
+RestSample measure_one(const HollowFleetOptions& options, Ms span) {
+  HollowFleet fleet(options);
+  const Ms started = hollow_clock();
+  fleet.wait_settled(kSettleMost);
+  const HollowFleet::Snapshot settled = fleet.snapshot();
+  sleep_ms(kWarmUp);
+  const HollowFleet::Snapshot before = fleet.snapshot();
+  sleep_ms(span);
+  RestSample out = sample_of(fleet, before, fleet.snapshot());
+  out.settled_after = settled.at - started;
+  for (int i = 0; i < options.keepers; ++i)
+    out.messages_until_settled =
+        std::max(out.messages_until_settled,
+                 static_cast<double>(settled.gateways[static_cast<size_t>(i)].peers.messages_in));
+  return out;
+}
+
+void add_rate(Series& series, const std::string& role, double size, const Rate& rate) {
+  series.add(role + ".messages", "messages/s", size, rate.messages);
+  series.add(role + ".bytes_in", "bytes/s", size, rate.bytes_in);
+  series.add(role + ".bytes_out", "bytes/s", size, rate.bytes_out);
+  series.add(role + ".cpu", "us/s", size, rate.cpu_us);
+}
+
+void add_sample(Series& series, double size, const RestSample& sample) {
+  add_rate(series, "gateway.control", size, sample.follower);
+  if (sample.has_held_duty) add_rate(series, "holder.control_per_duty", size, sample.held_duty);
+  add_rate(series, "keeper.control", size, sample.keeper);
+  add_rate(series, "keeper.control_busiest", size, sample.busiest_keeper);
+  add_rate(series, "bus.control", size, sample.bus);
+  series.add("fleet.record_messages_per_gateway", "messages/s", size, sample.record_messages_per_gateway);
+  series.add("fleet.start.settled_after", "ms", size, sample.settled_after);
+  series.add("keeper.start.messages_in", "count", size, sample.messages_until_settled);
+  series.add("fleet.hollow_memory", "MB", size, sample.resident_mb);
+}
+
+HollowFleetOptions fleet_options(const ScaleOptions& options, int gateways, int duties, int keepers) {
+  HollowFleetOptions out;
+  out.gateways = gateways;
+  out.duties = duties;
+  out.keepers = keepers;
+  out.engines = kEnginesListed;
+  out.zones = std::min(options.zones, gateways);
+  out.seed = options.seed;
+  return out;
+}
+
+}  // namespace
+
+std::vector<Measurement> measure_rest(const ScaleOptions& options, const Progress& progress) {
+  const Ms span = options.seconds * 1000;
+  const int held = options.quick ? kGatewaysHeldQuick : kGatewaysHeld;
+  std::vector<Measurement> all;
+  const auto run = [&](const std::string& varied, const std::vector<int>& sizes,
+                       std::map<std::string, double> fixed, const auto& options_of) {
+    fixed["engines"] = kEnginesListed;
+    Series series(options, varied, std::move(fixed));
+    for (const int size : sizes) {
+      progress(fmt::format("control at rest: {} {}", size, varied));
+      add_sample(series, size, measure_one(options_of(size), span));
+    }
+    for (Measurement& one : series.take()) all.push_back(std::move(one));
+  };
+  const double duties = options.duties, keepers = options.keepers, gateways = held;
+  run("gateways",
+      sizes_of(options.gateways, options.quick, {32, 64, 128, 256, 512, 1100}, {24, 28, 32, 40, 48, 64}),
+      {{"duties", duties}, {"keepers", keepers}},
+      [&](int size) { return fleet_options(options, size, options.duties, options.keepers); });
+  run("duties", sizes_of({}, options.quick, {0, 5, 10, 20, 40, 80}, {0, 2, 4, 6, 8, 12}),
+      {{"gateways", gateways}, {"keepers", keepers}},
+      [&](int size) { return fleet_options(options, held, size, options.keepers); });
+  // Three sizes are all that there are.
+  run("keepers", {3, 5, 7}, {{"gateways", gateways}, {"duties", duties}},
+      [&](int size) { return fleet_options(options, held, options.duties, size); });
+  return all;
+}
+
+}  // namespace firvalve::lab::scale
--- a/src/lab/scale/control_run.cpp
+++ b/src/lab/scale/control_run.cpp
@@ -1,7 +1,91 @@
-#include "lab/scale/parts.h"
+#include <fmt/format.h>
+#include <time.h>
+#include <unistd.h>
+
+#include <algorithm>
+
+#include "lab/scale/control_series.h"
 
 namespace firvalve::lab::scale {
+namespace {
+
+bool wants(const std::vector<std::string>& chosen, const std::string& name) {
+  return chosen.empty() || std::find(chosen.begin(), chosen.end(), name) != chosen.end();
+}
+
+std::string today() {
+  const time_t now = ::time(nullptr);
+  tm parts{};
+  ::gmtime_r(&now, &parts);
+  return fmt::format("{:04}-{:02}-{:02}", parts.tm_year + 1900, parts.tm_mon + 1, parts.tm_mday);
+}
+
+std::string this_machine() {
+  constexpr double kGigabyte = 1024.0 * 1024 * 1024;
+  const double memory = static_cast<double>(::sysconf(_SC_PHYS_PAGES)) *
+                        static_cast<double>(::sysconf(_SC_PAGESIZE)) / kGigabyte;
+  return fmt::format("{} cores, {:.0f} GB", ::sysconf(_SC_NPROCESSORS_ONLN), memory);
+}
+
+std::string sizes_text(const char* name, const std::vector<int>& sizes) {
+  std::string text;
+  for (const int size : sizes) text += fmt::format(" {}", size);
+  return sizes.empty() ? text : fmt::format(" {}{}", name, text);
+}
+
+std::string command_of(const ScaleOptions& options) {
+  std::string text = "firvalve-lab scale --part control";
+  text += sizes_text("--gateways", options.gateways) + sizes_text("--engines", options.engines);
+  text += fmt::format(" --keepers {} --duties {} --seconds {} --seed {}", options.keepers, options.duties,
+                      options.seconds, options.seed);
+  return options.quick ? text + " --quick" : text;
+}
+
+Measurement common_part(const ScaleOptions& options, std::string varied,
+                        std::map<std::string, double> fixed) {
+  Measurement common;
+  common.varied = std::move(varied);
+  common.fixed = std::move(fixed);
+  common.command = command_of(options);
+  common.date = today();
+  common.machine = this_machine();
+  common.seed = options.seed;
+  return common;
+}
+
+}  // namespace
+
+std::vector<int> sizes_of(const std::vector<int>& asked, bool quick, std::vector<int> full,
+                          std::vector<int> small) {
+  std::vector<int> sizes = !asked.empty() ? asked : quick ? std::move(small) : std::move(full);
+  std::sort(sizes.begin(), sizes.end());
+  sizes.erase(std::unique(sizes.begin(), sizes.end()), sizes.end());
+  return sizes;
+}
+
+Series::Series(const ScaleOptions& options, std::string varied, std::map<std::string, double> fixed)
+    : common_(common_part(options, std::move(varied), std::move(fixed))) {}
+
+void Series::add(const std::string& name, const std::string& unit, double size, double value) {
+  auto at = std::find_if(measurements_.begin(), measurements_.end(),
+                         [&](const Measurement& measurement) { return measurement.name == name; });
+  if (at == measurements_.end()) {
+    at = measurements_.insert(at, common_);
+    at->name = name;
+    at->unit = unit;
+  }
+  at->points.push_back({size, value});
+}
 
-std::vector<Measurement> measure_control(const ScaleOptions&, const Progress&) { return {}; }
+std::vector<Measurement> measure_control(const ScaleOptions& options, const Progress& progress) {
+  std::vector<Measurement> all;
+  const auto add = [&all](std::vector<Measurement> more) {
+    for (Measurement& one : more) all.push_back(std::move(one));
+  };
+  add(measure_rest(options, progress));
+  if (wants(options.changes, "list")) add(measure_list_changes(options, progress));
+  if (wants(options.changes, "configuration")) add(measure_configuration_changes(options, progress));
+  return all;
+}
 
 }  // namespace firvalve::lab::scale
--- a/src/lab/scale/hollow_gateway.cpp
+++ b/src/lab/scale/hollow_gateway.cpp
@@ -10,6 +10,7 @@
 #include <functional>
 #include <future>
 #include <mutex>
+#include <random>
 #include <thread>
 
 #include "config/operator.h"
@@ -72,6 +73,12 @@
   void answer_paged(CallRef, ShelfNo) override {}
 };
 
+// As the program draws it: no two incarnations may share it.
+uint64_t draw_of_this_start() {
+  std::random_device device;
+  return (static_cast<uint64_t>(device()) << 32) | device();
+}
+
 double thread_cpu_us(pthread_t thread) {
   clockid_t clock{};
   timespec time{};
@@ -131,7 +138,7 @@
     if (options.keepers.empty()) return nullptr;
     const config::Operator::Fleet section = read_fleet_section(options);
     fleet::FleetTerms terms = fleet::terms_of(section);
-    terms.draw = options.seed;
+    terms.draw = draw_of_this_start();
     return std::make_unique<fleet::Fleet>(
         loop, counters, terms, no_clients,
         [this](log::Level, std::string_view event, log::Fields fields) { note(event, fields); });
--- a/src/standin/between.cpp
+++ b/src/standin/between.cpp
@@ -103,6 +103,7 @@
   if (terms_[pair].silent) return;
   ++passed_;
   bytes_[pair] += frame.size();
+  if (on_frame) on_frame(pair.first, pair.second, frame);
   (forth ? *p.far : *p.near).write(frame);
 }
 
--- a/src/standin/between.h
+++ b/src/standin/between.h
@@ -3,6 +3,7 @@
 // own, which a test sets and changes. Chance comes from a seed; what the system's scheduling adds does not.
 #pragma once
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <pcg_random.hpp>
@@ -36,7 +37,9 @@
   void set_both(size_t a, size_t b, const Terms& terms);
   void set_all(const Terms& terms);
   void set_apart(size_t one, const Terms& terms);  // from and to everybody
-  uint64_t passed() const;                         // frames
+  // Shown each frame that comes through, on the host's thread. Set before anybody connects.
+  std::function<void(size_t from, size_t to, const std::string& frame)> on_frame;
+  uint64_t passed() const;  // frames
   uint64_t bytes(size_t from, size_t to) const;
 
  private:
--- a/src/standin/bus.cpp
+++ b/src/standin/bus.cpp
@@ -115,7 +115,7 @@
 
 void Bus::tick() {
   std::erase_if(followers_, [&](Connection* c) { return !connections_.has(c); });
-  const std::string line = fmt::format("{}\n", first_ + static_cast<int64_t>(events_.size()));
+  const std::string line = fmt::format("{{\"offset\":{}}}\n", first_ + static_cast<int64_t>(events_.size()));
   for (Connection* const c : std::vector(followers_))
     if (connections_.has(c)) write(*c, line);
   host_.after(kSecond, [this, alive = alive_] {
--- a/src/standin/fleet.h
+++ b/src/standin/fleet.h
@@ -17,6 +17,7 @@
   Engine& engine(int i) { return *engines_[static_cast<size_t>(i)]; }
   int engines() const { return static_cast<int>(engines_.size()); }
   Bus& bus() { return *bus_; }
+  const Bus& bus() const { return *bus_; }
   Host& host() { return host_; }
   std::string name_of(int engine) const;
   // The file that NODE_CONFIG names.
--- /dev/null
+++ b/tests/lab/scale_control_test.cpp
@@ -0,0 +1,296 @@
+// The control part of the scale run: counts of messages, bytes and connections, never seconds.
+#include <fmt/format.h>
+#include <gtest/gtest.h>
+#include <sys/resource.h>
+#include <sys/wait.h>
+
+#include <algorithm>
+#include <fstream>
+#include <mutex>
+#include <set>
+
+#include "fleet/wire.h"
+#include "lab/fleet_world.h"
+#include "lab/scale/hollow_fleet.h"
+#include "soon.h"
+#include "standin/between.h"
+#include "standin/fleet.h"
+#include "standin/process.h"
+
+namespace firvalve::lab::scale {
+namespace {
+
+constexpr Ms kSettleMost = 60000;
+
+// What comes to a gateway that holds no duty in ten seconds of virtual time, once the fleet has settled.
+FleetHeard heard_at_rest(uint32_t gateways) {
+  FleetOptions options;
+  options.gateways = gateways;
+  options.keepers = 5;
+  options.duties = 8;
+  options.merges = options.publishers = options.readers = 0;
+  options.lease = 3000;
+  options.span = 10000;
+  const std::vector<FleetHeard> before = play(options).heard;
+  options.span = 20000;
+  const std::vector<FleetHeard> after = play(options).heard;
+  std::vector<uint64_t> messages, facts;
+  for (size_t i = options.keepers; i < after.size(); ++i) {
+    messages.push_back(after[i].messages - before[i].messages);
+    facts.push_back(after[i].facts - before[i].facts);
+  }
+  const auto median = [](std::vector<uint64_t>& values) {
+    std::nth_element(values.begin(), values.begin() + values.size() / 2, values.end());
+    return values[values.size() / 2];
+  };
+  return {median(messages), median(facts)};
+}
+
+TEST(ScaleControl, AGatewaysTrafficAtRestDoesNotGrowWithTheFleet) {
+  const FleetHeard small = heard_at_rest(32);
+  ASSERT_GT(small.messages, 0u);
+  ASSERT_GT(small.facts, 0u);
+  for (const uint32_t gateways : {64u, 128u}) {
+    const FleetHeard heard = heard_at_rest(gateways);
+    const auto ratio = [](uint64_t a, uint64_t b) { return static_cast<double>(a) / static_cast<double>(b); };
+    EXPECT_NEAR(ratio(heard.messages, small.messages), 1, 0.1) << gateways;
+    EXPECT_NEAR(ratio(heard.facts, small.facts), 1, 0.1) << gateways;
+  }
+}
+
+// Bytes that the bus wrote for an update, its word of each second left out.
+uint64_t bytes_of_update(int engines, bool whole) {
+  constexpr size_t kGateways = 16;
+  HollowFleetOptions options;
+  options.gateways = kGateways;
+  options.keepers = 0;
+  options.engines = engines;
+  HollowFleet fleet(options);
+  fleet.wait_settled(kSettleMost);
+  fleet.announce(engine_listings(0, whole ? engines : 1, "DRAINING"), whole);
+  HollowFleet::Snapshot now;
+  EXPECT_TRUE(soon([&] {
+    now = fleet.snapshot();
+    return std::all_of(now.gateways.begin(), now.gateways.end(),
+                       [](const auto& gateway) { return gateway.list_updates == 1; });
+  }));
+  EXPECT_EQ(now.bus.connections_made, kGateways);
+  EXPECT_EQ(now.bus.bytes_in, kGateways * std::string("from 1\n").size());
+  constexpr size_t kWord = std::string_view("{\"offset\":1}\n").size();
+  const uint64_t update = now.bus.bytes_out - (now.bus.lines_out - kGateways) * kWord;
+  EXPECT_EQ(update % kGateways, 0u);
+  return update / kGateways;
+}
+
+TEST(ScaleControl, AChangeCostsEachGatewayItsDifferenceAndNotTheList) {
+  const uint64_t of_few = bytes_of_update(20, false), of_many = bytes_of_update(400, false);
+  EXPECT_EQ(of_few, of_many);
+  EXPECT_LT(of_many, 200u);
+  EXPECT_GT(bytes_of_update(400, true), 100 * of_many);
+}
+
+// A subject that joins three keepers, holds a duty and follows a bus; a program of its own or a hollow one.
+class Subject {
+ public:
+  virtual ~Subject() = default;
+  struct Frame {
+    std::vector<record::Message> parts;
+    size_t bytes = 0;
+    std::string from;
+  };
+  // The size of each kind of frame with one message in it, by what decides that size.
+  using Kind = std::tuple<record::Say, std::string, uint64_t, bool>;  // its key, version, whether it goes on
+  std::map<Kind, std::set<size_t>> sizes;
+  uint64_t bus_lines = 0, bus_bytes = 0;
+  std::vector<int64_t> asked_from;
+};
+
+struct Addresses {
+  std::vector<std::string> real, name;  // three keepers, then the subject
+  std::string clients, bus;
+};
+
+constexpr size_t kKeepers = 3, kSubject = 3;
+constexpr uint64_t kVersions = 3;  // the subject's claim and two renewals
+
+HollowGatewayOptions gateway_at(const Addresses& at, size_t i) {
+  HollowGatewayOptions options;
+  options.address = at.real[i];
+  options.reached_at = at.name[i];
+  options.site = "here";
+  options.keepers.assign(at.name.begin(), at.name.begin() + kKeepers);
+  options.lease = 1000;
+  return options;
+}
+
+class HollowAgainstReal : public testing::Test {
+ protected:
+  HollowAgainstReal() {
+    const std::vector<std::string> free = standin::free_addresses(10);
+    at_.real.assign(free.begin(), free.begin() + 4);
+    at_.name.assign(free.begin() + 4, free.begin() + 8);
+    at_.clients = free[8];
+    at_.bus = free[9];
+  }
+
+  // `start` brings the subject up and returns what keeps it up.
+  template <class Start>
+  Subject play(const Start& start) {
+    Subject out;
+    std::mutex mutex;
+    standin::Host host;
+    auto between = std::make_unique<standin::Between>(host, 1);
+    between->on_frame = [&](size_t from, size_t, const std::string& frame) {
+      const std::lock_guard lock(mutex);
+      if (from == kSubject) note(out, frame);
+    };
+    for (size_t i = 0; i <= kSubject; ++i) between->stand_before(at_.real[i], at_.name[i]);
+    auto bus = std::make_unique<standin::Bus>(host, 1, at_.bus);
+    std::vector<std::unique_ptr<HollowGateway>> keepers;
+    for (size_t i = 0; i < kKeepers; ++i) {
+      keepers.push_back(std::make_unique<HollowGateway>(gateway_at(at_, i)));
+      keepers.back()->start();
+    }
+    {
+      const auto subject = start();
+      EXPECT_TRUE(soon([&] { return bus->asked_from().size() == 1; }));
+      bus->announce(engine_listings(7, 1, "DRAINING"));
+      EXPECT_TRUE(soon([&] { return bus->traffic().lines_out > 1; }));
+      EXPECT_TRUE(soon([&] {
+        const std::lock_guard lock(mutex);
+        return out.sizes.count({record::Say::kAccept, "trial:a", kVersions, false}) > 0;
+      }));
+      out.bus_lines = bus->traffic().lines_in;
+      out.bus_bytes = bus->traffic().bytes_in;
+      out.asked_from = bus->asked_from();
+    }
+    keepers.clear();
+    bus.reset();
+    between.reset();
+    return out;
+  }
+
+  static void note(Subject& out, const std::string& bytes) {
+    const size_t head = bytes.find("\r\n\r\n") + 4;
+    const char* why = "";
+    const auto frame = fleet::read_frame({bytes.data() + head, bytes.size() - head}, why);
+    ASSERT_TRUE(frame) << why;
+    if (frame->parts.size() != 1) return;  // what goes together is chance
+    const record::Message& m = frame->parts[0];
+    if (m.fact.version <= kVersions)
+      out.sizes[{m.say, m.key, m.fact.version, m.since > 0}].insert(bytes.size());
+  }
+
+  Addresses at_;
+};
+
+struct RealGateway {
+  RealGateway(const Addresses& at, const standin::Fleet& engines)
+      : file(testing::TempDir() + "hollow_real.json5") {
+    std::ofstream(file) << fmt::format(
+        R"({{"fleet":{{"on":true,"site":"here","listen":"{}","reached_at":"{}","keepers":["{}"],)"
+        R"("lease_ms":1000,"duties":["trial:a"]}}}})",
+        at.real[kSubject], at.name[kSubject],
+        fmt::join(at.name.begin(), at.name.begin() + kKeepers, "\",\""));
+    std::string config = engines.config(at.clients);
+    const std::string bus = engines.bus().address();
+    config.replace(config.find(bus), bus.size(), at.bus);
+    process.emplace(FIRVALVE_PROGRAM, config, std::vector<std::string>{"--operator", file}, "/dev/null");
+  }
+  const std::string file;
+  std::optional<standin::Process> process;
+};
+
+TEST_F(HollowAgainstReal, TheSameBytesForTheSameEvents) {
+  const Subject hollow = play([&] {
+    HollowGatewayOptions options = gateway_at(at_, kSubject);
+    options.duties = {"trial:a"};
+    options.bus = at_.bus;
+    options.known_list = standin::topology(1, true, engine_listings(0, 2));
+    auto gateway = std::make_unique<HollowGateway>(options);
+    gateway->start();
+    return gateway;
+  });
+  const standin::Fleet engines(2);
+  const Subject real = play([&] { return std::make_unique<RealGateway>(at_, engines); });
+
+  EXPECT_EQ(hollow.asked_from, real.asked_from);
+  EXPECT_EQ(hollow.bus_lines, real.bus_lines);
+  EXPECT_EQ(hollow.bus_bytes, real.bus_bytes);
+  using record::Say;
+  for (uint64_t version = 1; version <= kVersions; ++version) {
+    const Subject::Kind accept{Say::kAccept, "trial:a", version, false};
+    ASSERT_EQ(hollow.sizes.count(accept), 1u) << version;
+    ASSERT_EQ(real.sizes.count(accept), 1u) << version;
+  }
+  size_t compared = 0;
+  for (const auto& [kind, sizes] : hollow.sizes) {
+    const auto same = real.sizes.find(kind);
+    if (same == real.sizes.end()) continue;  // it went together with another this time
+    ++compared;
+    EXPECT_EQ(sizes, same->second) << static_cast<int>(std::get<0>(kind)) << " " << std::get<1>(kind) << " "
+                                   << std::get<2>(kind);
+  }
+  // Looks that begin and that go on, a prepare, the accepts.
+  EXPECT_GE(compared, 3 + kVersions);
+}
+
+std::string refusal(const HollowFleetOptions& options) {
+  try {
+    HollowFleet fleet(options);
+  } catch (const ScaleError& error) {
+    return error.what();
+  }
+  return "none";
+}
+
+HollowFleetOptions fleet_of(int gateways, int keepers) {
+  HollowFleetOptions options;
+  options.gateways = gateways;
+  options.keepers = keepers;
+  return options;
+}
+
+TEST(ScaleControl, SizesThatContradictOneAnotherAreRefused) {
+  EXPECT_EQ(refusal(fleet_of(0, 0)), "a fleet of no gateways");
+  EXPECT_EQ(refusal(fleet_of(4, 5)), "5 keepers of 4 gateways");
+  HollowFleetOptions zones = fleet_of(4, 3);
+  zones.zones = 5;
+  EXPECT_EQ(refusal(zones), "5 zones for 4 gateways");
+  HollowFleetOptions processes = fleet_of(1000, 3);
+  processes.gateways_per_process = 1;
+  EXPECT_EQ(refusal(processes), "1005 processes, more than 290");
+}
+
+TEST(ScaleControl, APortInUseIsToldInOneLine) {
+  Poco::Net::ServerSocket taken;
+  taken.bind(Poco::Net::SocketAddress(loopback_address(1)), false);
+  taken.listen();
+  const std::string why = refusal(fleet_of(4, 3));
+  EXPECT_NE(why.find(loopback_address(1)), std::string::npos) << why;
+  EXPECT_EQ(why.find('\n'), std::string::npos) << why;
+}
+
+TEST(ScaleControl, AChildThatDiesIsToldAndNothingIsLeftRunning) {
+  {
+    HollowFleet fleet(fleet_of(8, 3));
+    ::kill(fleet.process(0).id(), SIGKILL);
+    EXPECT_THROW(fleet.snapshot(), ScaleError);
+  }
+  EXPECT_EQ(::waitpid(-1, nullptr, WNOHANG), -1);
+  EXPECT_EQ(errno, ECHILD);
+}
+
+TEST(ScaleControl, TooFewDescriptorsAreToldBeforeAnythingStarts) {
+  const auto within_few = [] {
+    const rlimit few{100, 100};
+    ::setrlimit(RLIMIT_NOFILE, &few);
+    std::fputs(refusal(fleet_of(64, 3)).c_str(), stderr);
+    std::_Exit(0);
+  };
+  testing::FLAGS_gtest_death_test_style = "threadsafe";
+  EXPECT_EXIT(within_few(), testing::ExitedWithCode(0), "descriptors in a process, of 100");
+}
+
+}  // namespace
+}  // namespace firvalve::lab::scale
