--- a/src/lab/scale/loss_run.cpp
+++ b/src/lab/scale/loss_run.cpp
@@ -71,9 +71,9 @@
 }
 
 // Measurements by name, in the order in which each was first added to.
-class Series {
+class LossSeries {
  public:
-  explicit Series(const ScaleOptions& options) {
+  explicit LossSeries(const ScaleOptions& options) {
     form_.command = command_of(options);
     form_.date = today();
     form_.machine = machine_text();
@@ -99,7 +99,7 @@
   std::vector<Measurement> all_;
 };
 
-void add_result(Series& series, double gateways, const LossResult& result) {
+void add_result(LossSeries& series, double gateways, const LossResult& result) {
   const std::string prefix = fmt::format("loss.{}.", name_of(result.kind));
   const auto add = [&](const char* what, const char* unit, double value) {
     series.add(prefix + what, unit, gateways, value);
@@ -125,7 +125,7 @@
 }
 
 void measure_fleet(const ScaleOptions& options, int gateways, const std::vector<LossKind>& losses,
-                   Series& series, const Progress& progress) {
+                   LossSeries& series, const Progress& progress) {
   progress(fmt::format("loss: a fleet of {} gateways starts", gateways));
   LossFleet fleet({topology_of(options, gateways), options.duties, kLease, options.seed}, progress);
   for (const LossKind loss : losses) {
@@ -139,7 +139,7 @@
   if (!breaches.empty()) throw ScaleError(fmt::format("{}: {}", breaches[0].rule, breaches[0].text));
 }
 
-void measure_clients(const ScaleOptions& options, Series& series, const Progress& progress) {
+void measure_clients(const ScaleOptions& options, LossSeries& series, const Progress& progress) {
   for (const int clients : options.quick ? kQuickClients : kClients) {
     ClientLossOptions trial;
     trial.clients = clients;
@@ -164,7 +164,7 @@
   for (const int gateways : sizes)
     for (const LossKind loss : losses) check_loss(loss, topology_of(options, gateways));
 
-  Series series(options);
+  LossSeries series(options);
   series.vary("gateways", {{"regions", options.regions},
                            {"zones", options.zones},
                            {"keepers", options.keepers},
