A zone and a rack are lost where duties are held; each first holder's rack is a process

Change: the zone is that of the first holder with the most duties beside a keeper, the rack and the holder those of the next ones.

--- a/src/lab/scale/loss_fleet.h
+++ b/src/lab/scale/loss_fleet.h
@@ -2,6 +2,7 @@
 // cut apart by the proxies through which all keepers are reached.
 #pragma once
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -24,8 +25,8 @@
   uint64_t seed = 1;
 };
 
-// Members are numbered: keepers first, then gateways. Gateways of one zone share a process, save one gateway
-// a region, which has a process to itself and holds duties first, and one rack.
+// Members are numbered: keepers first, then gateways. Gateways of one zone share a process. One gateway a
+// region has a process to itself and holds duties first; the others of its rack have one, too.
 class LossFleet {
  public:
   // Starts all and waits until every duty is held and every gateway has been told so. Throws ScaleError.
@@ -43,13 +44,14 @@
   // Names of gateways that are up, in these regions; all regions where there are none.
   std::map<std::string, size_t> holders_up(const std::vector<size_t>& regions = {}) const;
 
-  // The rack that has a process of its own; its first gateway holds duties.
-  std::vector<size_t> separate_rack() const;  // as members
-  // Keepers and gateways of the zone that is lost whole.
-  std::vector<size_t> separate_zone() const;
+  // All members in the rack or the zone of a gateway that has a process to itself.
+  std::vector<size_t> rack_of(size_t holder) const;
+  std::vector<size_t> zone_of(size_t holder) const;
   std::vector<size_t> holders() const;  // by duty, as the newest claims name them; free duties left out
   // The gateway with a process of its own that holds the most duties. Throws ScaleError: none holds any.
   size_t busiest_holder() const;
+  // Of those in whose zone a keeper stands.
+  size_t busiest_holder_beside_keeper() const;
 
   // SIGKILL to all processes of these members, which must be whole processes; and the same started again.
   void kill(const std::vector<size_t>& members);
@@ -79,6 +81,7 @@
     HollowProcessOptions options;
     std::unique_ptr<HollowProcess> child;  // none: it is down
   };
+  size_t busiest_of(const std::function<bool(size_t member)>& is_wanted) const;
   void plan_processes(const LossFleetOptions& options);
   void add_process(const std::vector<size_t>& members, const LossFleetOptions& options);
   void start_proxies();
