--- a/src/lab/scale/loss_fleet.cpp
+++ b/src/lab/scale/loss_fleet.cpp
@@ -75,8 +75,6 @@
 
 LossFleet::~LossFleet() = default;
 
-const Place& LossFleet::place(size_t member) const { return places_[member]; }
-
 void LossFleet::plan_processes(const LossFleetOptions& options) {
   process_of_.assign(places_.size(), SIZE_MAX);
   const auto unplanned = [&](std::vector<size_t> members) {
@@ -315,8 +313,6 @@
   return judge(history_);
 }
 
-size_t LossFleet::processes_up() const { return process_ids().size(); }
-
 std::vector<pid_t> LossFleet::process_ids() const {
   std::vector<pid_t> out;
   for (const Process& process : processes_)
--- a/src/lab/scale/loss_fleet.h
+++ b/src/lab/scale/loss_fleet.h
@@ -39,7 +39,6 @@
   size_t keepers() const { return topology_.keepers().size(); }
   size_t size() const { return names_.size(); }
   size_t member_of_gateway(size_t gateway) const { return keepers() + gateway; }
-  const Place& place(size_t member) const;
   std::vector<size_t> gateways_up() const;  // as members
   // Names of gateways that are up, in these regions; all regions where there are none.
   std::map<std::string, size_t> holders_up(const std::vector<size_t>& regions = {}) const;
@@ -72,7 +71,6 @@
   // Members that may act for some duty at this moment, by their own reports.
   std::vector<size_t> holders_now();
   std::vector<FleetBreach> breaches();
-  size_t processes_up() const;
   std::vector<pid_t> process_ids() const;
 
  private:
--- a/src/lab/scale/loss_run.cpp
+++ b/src/lab/scale/loss_run.cpp
@@ -13,8 +13,8 @@
 namespace firvalve::lab::scale {
 namespace {
 
-// The last, largest size of each is held out from the fit. Past 256 gateways a lost duty is contended for by
-// so many on one machine that it has no core left for what it measures.
+// The last, largest size of each is held out from the fit. More gateways than these contend for a lost duty
+// with more messages than one machine carries beside them; a keeper alone can be lost at any size.
 const std::vector<int> kGateways = {40, 64, 96, 128, 192, 256};
 const std::vector<int> kQuickGateways = {20, 24, 28, 32, 36, 40};
 const std::vector<int> kClients = {20, 40, 80, 160, 320, 640};
