Scale run: staged start, a cold start as its own series, progress while a point is measured

Need: 1,100 hollow gateways that start at once and all want 20 duties did not come to rest on this machine (none of 20 held after 120 s; another time all within 5 s), so the series at rest could not be measured; Ctrl-C went unnoticed for a whole point.

--- a/src/lab/scale/control_run.cpp
+++ b/src/lab/scale/control_run.cpp
@@ -3,12 +3,17 @@
 #include <unistd.h>
 
 #include <algorithm>
+#include <chrono>
+#include <thread>
 
 #include "lab/scale/control_series.h"
 
 namespace firvalve::lab::scale {
 namespace {
 
+constexpr Ms kTellEvery = 2000;  // of a point that takes long
+constexpr Ms kSleepMost = 250;   // at once
+
 bool wants(const std::vector<std::string>& chosen, const std::string& name) {
   return chosen.empty() || std::find(chosen.begin(), chosen.end(), name) != chosen.end();
 }
@@ -63,6 +68,26 @@
   return sizes;
 }
 
+Watch::Watch(const Progress& progress, std::string point) : progress_(progress), point_(std::move(point)) {
+  progress_(point_);
+  began_ = told_at_ = hollow_clock();
+}
+
+void Watch::look() {
+  const Ms now = hollow_clock();
+  if (now < told_at_ + kTellEvery) return;
+  told_at_ = now;
+  progress_(fmt::format("{}, {:.0f} s", point_, (now - began_) / 1000));
+}
+
+void Watch::sleep(Ms span) {
+  const Ms until = hollow_clock() + span;
+  for (Ms now = hollow_clock(); now < until; now = hollow_clock()) {
+    std::this_thread::sleep_for(std::chrono::duration<double, std::milli>(std::min(kSleepMost, until - now)));
+    look();
+  }
+}
+
 Series::Series(const ScaleOptions& options, std::string varied, std::map<std::string, double> fixed)
     : common_(common_part(options, std::move(varied), std::move(fixed))) {}
 
@@ -85,6 +110,7 @@
   add(measure_rest(options, progress));
   if (wants(options.changes, "list")) add(measure_list_changes(options, progress));
   if (wants(options.changes, "configuration")) add(measure_configuration_changes(options, progress));
+  add(measure_cold_start(options, progress));
   return all;
 }
 
--- a/src/lab/scale/control_series.h
+++ b/src/lab/scale/control_series.h
@@ -13,6 +13,19 @@
 std::vector<int> sizes_of(const std::vector<int>& asked, bool quick, std::vector<int> full,
                           std::vector<int> small);
 
+// Tells of a point that takes long, from time to time, so that an interrupt is noticed meanwhile.
+class Watch {
+ public:
+  Watch(const Progress& progress, std::string point);
+  void look();  // tells, where it has not done so for a while
+  void sleep(Ms span);
+
+ private:
+  const Progress& progress_;
+  const std::string point_;
+  Ms began_ = 0, told_at_ = 0;
+};
+
 // Measurements of one series, filled point by point.
 class Series {
  public:
@@ -27,6 +40,8 @@
 
 // What each role spends on control while nothing changes: by gateways, duties and keepers.
 std::vector<Measurement> measure_rest(const ScaleOptions& options, const Progress& progress);
+// A fleet whose gateways all start at once: until every duty has a holder.
+std::vector<Measurement> measure_cold_start(const ScaleOptions& options, const Progress& progress);
 // A change of the engine list, from its acceptance at the bus to in force: by gateways and by engines.
 std::vector<Measurement> measure_list_changes(const ScaleOptions& options, const Progress& progress);
 // A change of configuration at processes of the program itself: a file and a signal for each.
--- a/src/lab/scale/hollow_fleet.h
+++ b/src/lab/scale/hollow_fleet.h
@@ -1,6 +1,8 @@
 // A fleet of hollow gateways over child processes, with their keepers and one event bus.
 #pragma once
 
+#include <functional>
+#include <map>
 #include <memory>
 #include <string>
 #include <vector>
@@ -19,6 +21,9 @@
   bool bus = true;              // an event bus that all follow
   bool keeper_folders = false;  // keepers keep what they promised on disk
   Ms lease = 3000;
+  // The keepers and a first group are started before all others, who come once every duty has a holder.
+  // False: all at once, and all claim all duties at once.
+  bool staged_start = true;
   int gateways_per_process = 64;
   uint64_t seed = 1;
 };
@@ -28,11 +33,10 @@
   // Plans the processes, raises the limit of descriptors to what the machine allows, starts all. Throws
   // ScaleError: sizes that contradict one another, a port in use, too few descriptors.
   explicit HollowFleet(const HollowFleetOptions& options);
-  ~HollowFleet();
 
   // Until every keeper takes part, every duty has a holder and every gateway follows the bus; throws
-  // ScaleError when it takes longer than that.
-  void wait_settled(Ms longest);
+  // ScaleError when it takes longer than that. `each_look` is called some times a second meanwhile.
+  void wait_settled(Ms longest, const std::function<void()>& each_look = {});
 
   struct Snapshot {
     Ms at = 0;
@@ -66,12 +70,21 @@
   void for_each_process(const std::vector<size_t>& which,
                         void (HollowProcess::*act)(const std::vector<size_t>&));
   void start_processes(std::vector<HollowProcessOptions> plan);
+  void start_group(std::vector<HollowProcessOptions>& plan, size_t first, size_t end);
+  size_t gateways_started() const;
 
   const HollowFleetOptions options_;
-  std::string folder_;  // of keepers; empty: none
+  struct Folder {  // of keepers, with all in it; no path: none
+    Folder() = default;
+    Folder(const Folder&) = delete;
+    Folder& operator=(const Folder&) = delete;
+    ~Folder();
+    std::string path;
+  } folder_;
   std::string bus_address_;
   std::vector<Member> members_;
   std::vector<std::unique_ptr<HollowProcess>> processes_;  // the bus's last
+  std::map<std::string, Ms> held_until_;                   // duties, by what wait_settled() has seen
 };
 
 // The address of the n-th process of this run, all of one length: 127.x.y.z:port.
