A whole engine list costs work by engines, not by their square

Seen: CPU a hollow gateway for a whole list 169, 389, 994, 2,596, 9,072 and 16,920 us at 50 to 1,100 engines. Cause, by reading: Engines::list compared the address of each listed engine with those of all pools, Core::number_of looked through all numbers for each new name, and hear_roster through all listings for each engine known. Change: an index by address, a set of the numbers in use, the ids of a whole list sorted once.

--- a/src/core/core.cpp
+++ b/src/core/core.cpp
@@ -253,11 +253,17 @@
   } else {
     for (const char c : name) number = (number ^ static_cast<unsigned char>(c)) * 16777619u;
   }
-  while (std::any_of(numbers_.begin(), numbers_.end(), [&](const auto& n) { return n.second == number; }))
-    ++number;
+  while (!numbers_in_use_.insert(number).second) ++number;
   return numbers_[name] = number;
 }
 
+void Core::forget_number(const std::string& name) {
+  const auto known = numbers_.find(name);
+  if (known == numbers_.end()) return;
+  numbers_in_use_.erase(known->second);
+  numbers_.erase(known);
+}
+
 void Core::roster(Ms now, bool full, std::vector<NamedListing> listings) {
   Roster r;
   r.full = full;
@@ -269,13 +275,13 @@
     if (l.listing.life != Life::kGone) kept[l.listing.engine] = l.name;
     if (l.listing.life != Life::kGone) continue;
     listed_.erase(l.listing.engine);
-    numbers_.erase(l.name);
+    forget_number(l.name);
   }
   if (full) {
     for (const auto& [engine, name] : listed_) {
       if (kept.count(engine)) continue;
       back_.list(now, engine, {}, Life::kGone);
-      numbers_.erase(name);
+      forget_number(name);
     }
     listed_.clear();
   }
--- a/src/core/core.h
+++ b/src/core/core.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -158,6 +159,7 @@
     for (const CallRef call : h.joined) one(call);
   }
   uint32_t number_of(const std::string& name);
+  void forget_number(const std::string& name);
 
   State state_;
   std::vector<std::string> profiles_;
@@ -178,6 +180,7 @@
   std::vector<Id> placeless_;  // paged ones that wait for a place, in the order taken
   std::vector<Id> done_;       // held until the next decisions alone
   std::map<std::string, uint32_t> numbers_;
+  std::set<uint32_t> numbers_in_use_;       // of numbers_
   std::map<uint32_t, std::string> listed_;  // names by number, of engines not gone
   std::map<Ms, uint64_t> bells_;
   Actions actions_;
--- a/src/net/engines.cpp
+++ b/src/net/engines.cpp
@@ -75,15 +75,26 @@
   Pool& pool = pools_[engine];
   pool.gone = gone;
   if (gone) return forget(engine);
-  for (auto& [other, p] : pools_)
-    if (other != engine && p.address == address) p.address.clear();
+  if (pool.address == address) return;
+  release_address(engine, pool);
   pool.address = address;
+  const auto [at, is_new] = engine_at_.try_emplace(pool.address, engine);
+  if (is_new) return;
+  pools_.at(at->second).address.clear();
+  at->second = engine;
+}
+
+void Engines::release_address(uint32_t engine, Pool& pool) {
+  const auto at = engine_at_.find(pool.address);
+  if (at != engine_at_.end() && at->second == engine) engine_at_.erase(at);
+  pool.address.clear();
 }
 
 void Engines::forget(uint32_t engine) {
   const auto at = pools_.find(engine);
-  if (at != pools_.end() && at->second.gone && at->second.sends == 0 && at->second.links.empty())
-    pools_.erase(at);
+  if (at == pools_.end() || !at->second.gone || at->second.sends > 0 || !at->second.links.empty()) return;
+  release_address(engine, at->second);
+  pools_.erase(at);
 }
 
 Engines::Connection* Engines::link_to(uint32_t engine, Ms now) {
--- a/src/net/engines.h
+++ b/src/net/engines.h
@@ -80,6 +80,7 @@
   void errand(uint64_t send, std::string call, Ms now);  // one that nothing waits for
   void give_up(uint64_t id, Outcome as, Ms now);
   void end(uint64_t send, Outcome outcome, std::string rows = {});
+  void release_address(uint32_t engine, Pool& pool);
   void forget(uint32_t engine);  // once it has gone and nothing of it is left
 
   Loop& loop_;
@@ -88,6 +89,7 @@
   size_t page_most_ = proto::kHttpBodyMost;
   Core* core_ = nullptr;
   std::map<uint32_t, Pool> pools_;
+  std::map<std::string, uint32_t, std::less<>> engine_at_;  // by address: the pool that has it
   std::map<uint64_t, Send> sends_;
   std::vector<Ending> endings_, telling_;
   Ms look_at_ = 0;  // nothing runs out of time before; 0: nothing does
--- a/src/policy/rules.cpp
+++ b/src/policy/rules.cpp
@@ -239,11 +239,13 @@
 // ---- Events -------------------------------------------------------------------------------------
 
 void hear_roster(State& s, Ms now, const Roster& r) {
-  if (r.full)
+  if (r.full) {
+    std::vector<uint32_t> listed;
+    for (const Listing& l : r.listings) listed.push_back(l.engine);
+    std::sort(listed.begin(), listed.end());
     for (Engine& e : s.engines)
-      if (std::none_of(r.listings.begin(), r.listings.end(),
-                       [&](const Listing& l) { return l.engine == e.id; }))
-        e.life = Life::kGone;
+      if (!std::binary_search(listed.begin(), listed.end(), e.id)) e.life = Life::kGone;
+  }
   for (const Listing& l : r.listings) {
     Engine* e = &engine_of(s, l.engine);
     e->zone = l.zone;
