--- a/src/lab/run.cpp
+++ b/src/lab/run.cpp
@@ -99,6 +99,8 @@
   if (model == "contention") options.engine.contention_loss = 0;
   if (model == "cancel") options.may_cancel = false;
   if (model == "notes") options.note_period = 0;
+  if (model == "unasked") options.unasked_most = 0;
+  if (model == "cancel-at-timeout") options.cancels_at_timeout = false;
   if (model == "attempts") options.attempts_most = 1;
 }
 
@@ -140,8 +142,8 @@
       "many gateways an engine, short timeouts, all models on: sets all but --gateways, --seed, "
       "--seconds, and --rate or --engines where they are given");
   run_app->add_option("--without", o->without, "of the models that --crowded switches on")
-      ->check(
-          CLI::IsMember({"retries", "connections", "slots", "contention", "cancel", "notes", "attempts"}));
+      ->check(CLI::IsMember({"retries", "connections", "slots", "contention", "cancel", "notes", "attempts",
+                             "unasked", "cancel-at-timeout"}));
   run_app->add_flag("--timeline", o->timeline, "a line for each second");
   run_app->add_flag("--no-history", o->no_history,
                     "no verdict on the rules: a long run at large size has no room for it");
--- a/src/lab/world.cpp
+++ b/src/lab/world.cpp
@@ -30,6 +30,7 @@
     kTurn,            // of gateway `who`
     kStart,           // an attempt comes to engine `who`
     kStop,            // its cancellation does
+    kUnasked,         // engine `who` ends attempt `number`: nobody asks for it any more
     kDone,            // engine `who` has finished something, if `number` is still its version
     kEnd,             // the end of an attempt comes to gateway `who`: `outcome`
     kNote,            // the engine's note on attempt `number` comes to gateway `who`
@@ -96,6 +97,7 @@
   void turn(uint32_t gateway);
   void start(uint64_t attempt);
   void stop(uint64_t attempt);
+  void end_unasked(uint32_t engine, uint64_t attempt);
   void note_progress(uint64_t attempt);
   void done(uint32_t engine, uint64_t version);
   void end_attempt(uint64_t attempt, Outcome outcome);
@@ -217,6 +219,7 @@
     }
     // Without an answer to its cancellation it ends when an unasked query would have.
     world.end_later(attempt, as, cancels ? kCancelUnanswered : 0);
+    if (!cancels && world.options_.unasked_most > 0) return;
     if (cancels && world.uses_connections()) return world.connect_for(attempt, true);
     world.travel(Event::Kind::kStop, 0, attempt, world.network_delay());
   }
@@ -487,6 +490,13 @@
   end_later(attempt, Outcome::kCancelled, network_delay());
 }
 
+// A silent engine hears no word, and looks again later.
+void World::end_unasked(uint32_t engine, uint64_t attempt) {
+  EngineModel& model = engines_[engine].model;
+  if (model.is_silent()) return travel(Event::Kind::kUnasked, engine, attempt, options_.unasked_most);
+  if (model.remove(now_, attempt)) plan(engine);
+}
+
 void World::note_progress(uint64_t attempt) {
   const auto at = attempts_.find(attempt);
   if (at == attempts_.end() || at->second.ended) return;
@@ -539,7 +549,11 @@
   if (at == attempts_.end() || at->second.ended) return;
   at->second.ended = true;
   Attempt a = at->second;
-  if (a.engine != kNowhere && a.at_engine && outcome != Outcome::kOk) {
+  const bool runs_on = outcome == Outcome::kTimedOut && options_.unasked_most > 0;
+  if (runs_on && a.at_engine) {
+    const bool is_told = options_.cancels_at_timeout && options_.may_cancel;
+    travel(Event::Kind::kUnasked, a.engine, attempt, is_told ? network_delay() : options_.unasked_most);
+  } else if (a.engine != kNowhere && a.at_engine && outcome != Outcome::kOk) {
     // Given up by its gateway: it ends at the engine, too, once that hears of it.
     EngineModel& model = engines_[a.engine].model;
     if (!model.is_silent() && model.remove(now_, attempt)) plan(a.engine);
@@ -770,6 +784,8 @@
       return start(e.number);
     case Event::Kind::kStop:
       return stop(e.number);
+    case Event::Kind::kUnasked:
+      return end_unasked(e.who, e.number);
     case Event::Kind::kDone:
       return done(e.who, e.number);
     case Event::Kind::kEnd:
@@ -861,6 +877,8 @@
   o.list_delay = 3500;
   o.note_period = 1000;
   o.attempts_most = 2;
+  o.unasked_most = 2000;
+  o.cancels_at_timeout = true;
   o.engine.cores = 6;
   o.engine.contention_from = 1.8;
   o.engine.contention_loss = 0.6;
--- a/src/lab/world.h
+++ b/src/lab/world.h
@@ -18,6 +18,7 @@
 //     have changed anything, with exponential backoff and at most so often
 //   - a burst of traffic that begins and ends
 //   - notes of progress from the engines
+//   - what a gateway gave up without a word runs on at its engine until it has been unasked for too long
 //
 // What it has not yet: memory, disks, warm data, bad plans, cold engines that fall over. Its figures are its
 // own, never the module's.
@@ -75,9 +76,13 @@
   Ms length = 60000;
   Ms delay_least = 0.5, delay_most = 2;  // of the network, one way
   Ms list_delay = 2000;
-  Ms note_period = 0;                  // between an engine's notes on an attempt; 0: none
-  int attempts_most = 4;               // of a gateway for one command
-  bool may_cancel = true;              // whether gateways may
+  Ms note_period = 0;      // between an engine's notes on an attempt; 0: none
+  int attempts_most = 4;   // of a gateway for one command
+  bool may_cancel = true;  // whether gateways may
+  // How long an engine runs on with what its gateway gave up without a word, as at its client's time-out. 0:
+  // it ends it at once, by the time that it was told.
+  Ms unasked_most = 0;
+  bool cancels_at_timeout = false;     // the gateway gives it up with a word
   std::vector<WorldProfile> profiles;  // empty: a lookup, a report and a load
   std::vector<Trouble> troubles;
   ClientRetryOptions client_retries;
--- a/tests/lab/collapse_test.cpp
+++ b/tests/lab/collapse_test.cpp
@@ -54,6 +54,16 @@
   expect_recovery(play(fleet_in_trouble(300, Trouble::Kind::kBurst)));
 }
 
+TEST(CrowdedFleet, WorkAbandonedAtTimeoutsKeepsEnginesFull) {
+  WorldOptions options = fleet_in_trouble(30, Trouble::Kind::kBurst);
+  const WorldOutcome cancelled = play(options);
+  options.cancels_at_timeout = false;
+  const WorldOutcome abandoned = play(options);
+  EXPECT_GT(sum(abandoned, &WorldSecond::full), 3 * sum(cancelled, &WorldSecond::full));
+  EXPECT_LT(in_target_share(abandoned, kEnds, kEnds + 10),
+            in_target_share(cancelled, kEnds, kEnds + 10) - 0.1);
+}
+
 TEST(CrowdedFleet, ACalmDayIsServedAndItsSeedGivesTheSameHistory) {
   WorldOptions options = crowded_fleet(30);
   options.length = 15000;
