--- a/src/lab/scale/capacity_page.cpp
+++ b/src/lab/scale/capacity_page.cpp
@@ -42,7 +42,10 @@
   }
 }
 
-std::string percent_text(double part) { return number_text(std::round(part * 100)); }
+std::string percent_text(double part) {
+  if (part > 0 && part < 0.01) return "under 1";
+  return number_text(std::round(part * 100));
+}
 
 std::string with_unit(double value, const std::string& unit) {
   return number_text(value) + (unit.empty() ? "" : " " + unit);
@@ -50,8 +53,10 @@
 
 // What weakens a figure: shown behind it.
 std::string evidence_text(const Evaluation& evaluation) {
-  std::string out;
-  const auto add = [&](const std::string& part) { out += (out.empty() ? "" : "; ") + part; };
+  std::vector<std::string> parts;
+  const auto add = [&](std::string part) {
+    if (std::find(parts.begin(), parts.end(), part) == parts.end()) parts.push_back(std::move(part));
+  };
   for (const EvaluatedTerm& term : evaluation.terms) {
     if (!term.value || !term.measurement) continue;
     const std::string& varied = term.measurement->varied;
@@ -62,7 +67,7 @@
       add(fmt::format("held-out {} {}: {} in 100 off", number_text(term.measurement->points.back().size),
                       varied, percent_text(*term.evidence.miss)));
   }
-  return out;
+  return fmt::format("{}", fmt::join(parts, "; "));
 }
 
 // What a breaking size rests on.
@@ -162,6 +167,7 @@
 std::string breaking_text(const BreakingSize& size) {
   switch (size.kind) {
     case BreakingSize::Kind::kAt:
+      if (size.gateways <= kSmallestFleet) return number_text(kSmallestFleet) + " or fewer";
       return number_text(std::round(size.gateways));
     case BreakingSize::Kind::kBeyond:
       return fmt::format("past {}", number_text(std::floor(size.gateways)));
--- a/src/lab/scale/cost_model.cpp
+++ b/src/lab/scale/cost_model.cpp
@@ -7,7 +7,6 @@
 namespace firvalve::lab::scale {
 namespace {
 
-constexpr double kSmallestFleet = 10;      // gateways, where the search for a breaking size begins
 constexpr double kSearchStep = 1.01;       // between the sizes tried
 constexpr double kServedLeast = 0.9;       // of a calm day's commands, in time
 constexpr double kMessagesPerCommand = 4;  // request and answer, at the client's and at the engine's side
@@ -417,8 +416,13 @@
        scale_run},
       {PlannedLine::kFailures, "a zone lost: duties served as before", "s", seconds_of("loss.zone.recovery"),
        at_most(primary_change), kLeases, Owner::kProgram, scale_run},
-      {PlannedLine::kFailures, "two regions joined again: until at rest", "s",
-       seconds_of("loss.region.recovery"), at_most(primary_change), kLeases, Owner::kProgram, scale_run},
+      {PlannedLine::kFailures, "a rack lost: duties served as before", "s", seconds_of("loss.rack.recovery"),
+       at_most(primary_change), kLeases, Owner::kProgram, scale_run},
+      {PlannedLine::kFailures, "regions cut apart: duties served as before", "s",
+       seconds_of("loss.split.recovery"), at_most(primary_change), kLeases, Owner::kProgram, scale_run},
+      {PlannedLine::kFailures, "regions joined again: duties served as before", "s",
+       seconds_of("loss.split.return.recovery"), at_most(primary_change), kLeases, Owner::kProgram,
+       scale_run},
   };
 }
 
--- a/src/lab/scale/cost_model.h
+++ b/src/lab/scale/cost_model.h
@@ -85,7 +85,8 @@
 
 Verdict judge(const Check& check, const CapacityFile& file, const FleetSize& fleet);
 
-// Gateways of the largest fleet that is looked at.
+// Gateways of the smallest and the largest fleet that is looked at.
+constexpr double kSmallestFleet = 10;
 constexpr double kLargestFleet = 1e6;
 
 // The smallest number of gateways, with engines, connections and commands in proportion, at which a check is
--- a/src/lab/scale/quantity.cpp
+++ b/src/lab/scale/quantity.cpp
@@ -55,7 +55,9 @@
 void apply_factor(EvaluatedTerm& term, const Factor& factor, const FleetSize& fleet) {
   if (!term.value) return;
   *term.value *= factor.value(fleet);
-  if (*factor.text) term.formula = fmt::format("({}) x {}", term.formula, factor.text);
+  if (!*factor.text) return;
+  const bool is_sum = term.formula.find(' ') != std::string::npos;
+  term.formula = fmt::format("{}{}{} x {}", is_sum ? "(" : "", term.formula, is_sum ? ")" : "", factor.text);
 }
 
 EvaluatedTerm evaluate_arithmetic(const Factor& factor, const FleetSize& fleet) {
--- a/src/lab/scale/trouble.cpp
+++ b/src/lab/scale/trouble.cpp
@@ -21,16 +21,20 @@
       SeriesQuery{series.c_str(), "gateways"}, Part::kWhole, {"", [](const FleetSize&) { return 1.0; }}};
   const Evaluation evaluation = evaluate({term}, file, file.fleet);
   if (!evaluation.value) return fmt::format("; {}: not measured", what);
-  return fmt::format("; {}: {} {}", what, number_text(*evaluation.value), unit);
+  const Evidence& evidence = evaluation.terms.front().evidence;
+  const std::string weak =
+      evidence.is_extrapolated ? fmt::format(" (calculated past {})", number_text(evidence.measured_to)) : "";
+  return fmt::format("; {}: {} {}{}", what, number_text(*evaluation.value), unit, weak);
 }
 
 // What the loss part of the scale run measured of a loss ("holder", "zone", ...), at the planned size.
 std::string measured_text(const CapacityFile& file, const std::string& loss) {
   const std::string prefix = "loss." + loss + ".";
   return figure_text(file, prefix + "recovery", "until served as before", "ms") +
-         figure_text(file, prefix + "keeper.peak_messages", "peak at the busiest keeper", "messages/s") +
-         figure_text(file, prefix + "keeper.peak_connects", "and", "connects/s") +
-         figure_text(file, prefix + "return.until_rest", "after its return at rest within", "ms") +
+         figure_text(file, prefix + "keeper.peak_messages", "peak at the busiest keeper",
+                     "messages a second") +
+         figure_text(file, prefix + "keeper.peak_connects", "connects there", "a second") +
+         figure_text(file, prefix + "return.until_rest", "at rest after the return within", "ms") +
          figure_text(file, prefix + "return.bytes", "the return costs all keepers", "bytes");
 }
 
