A command whose client's time is over is given up at its engine

Cause: a send that ended by its client's time-out was dropped without a word (since, on the belief that the engine ends it by the time it was told). The protocol says that a query runs on until it ends, is deleted or is unasked for 2 s.

Change: one DELETE, as an errand that nothing waits for, where the settings allow it; not repeated, so that a silent engine costs one connection and no more. Order carries the setting, Core reads it, Engines decides nothing.

--- a/src/core/core.cpp
+++ b/src/core/core.cpp
@@ -41,7 +41,8 @@
       back_(back),
       counters_(counters),
       say_(std::move(say)),
-      tick_(number(articles, "tick")) {
+      tick_(number(articles, "tick")),
+      may_cancel_(number(articles, "may cancel") > 0) {
   double cores = 0, memory_mb = 0;
   for (const auto& [name, value] : articles) {
     if (name.starts_with("cores.")) cores = std::max(cores, number(articles, name));
@@ -381,8 +382,8 @@
       h.overdue = false;
       sends_[h.send] = at->first;
       look_at_ = sooner(look_at_, h.gives_up_at);
-      back_.start(
-          now, {h.send, a.engine, view(at->first), profile, h.statement, h.gives_up_at, h.priority, h.paged});
+      back_.start(now, {h.send, a.engine, view(at->first), profile, h.statement, h.gives_up_at, h.priority,
+                        h.paged, may_cancel_});
       break;
     }
     case Action::Kind::kWithdraw:
--- a/src/core/core.h
+++ b/src/core/core.h
@@ -33,8 +33,9 @@
   uint32_t engine = 0;
   std::string_view command, profile, statement;
   Ms until = 0;
-  int priority = -1;   // below 0: the engine's own choice
-  bool paged = false;  // its rows go to Core::page() as they come, not to Core::ended()
+  int priority = -1;        // below 0: the engine's own choice
+  bool paged = false;       // its rows go to Core::page() as they come, not to Core::ended()
+  bool may_cancel = false;  // by the settings: its engine may be told that nobody waits for it any more
 };
 
 // What carries sends to engines. Each send started ends once, by Core::ended, never within one of these
@@ -183,6 +184,7 @@
   Actions actions_;
   uint64_t last_send_ = 0;
   const Ms tick_;
+  const bool may_cancel_;
   Ms most_timeout_ = kUntold, most_estimate_ = kUntold;
   double most_memory_mb_ = kUntold;
   size_t most_held_ = SIZE_MAX, held_bytes_ = 0;
--- a/src/net/engines.cpp
+++ b/src/net/engines.cpp
@@ -342,9 +342,12 @@
     if (!send.told || !link.up() || as != Outcome::kCancelled) drop(link);
   }
   if (!begun) return end(id, as == Outcome::kCancelled ? Outcome::kMoot : as);
-  // At its client's time-out the engine ends it by the time it was told: nothing is sent for it.
-  if (as != Outcome::kCancelled) return end(id, as);
-  give_up(id, as, now);
+  if (as == Outcome::kCancelled) return give_up(id, as, now);
+  // Guards engines against commands that nobody waits for: one that runs when its client's time is over runs
+  // on and keeps its place, and many gateways' together fill every engine. Told once, and nothing waits for
+  // it: without the word a query ends unasked.
+  if (send.order.may_cancel) errand(id, {}, now);
+  end(id, as);
 }
 
 // The engine is told, and the send ends with its word, or at the latest when nobody has asked for the query
--- a/tests/core/core_test.cpp
+++ b/tests/core/core_test.cpp
@@ -64,6 +64,7 @@
   EXPECT_EQ(heard.started[0].engine, 0x00c41f7au);
   EXPECT_EQ(heard.started[0].statement, "select 1");
   EXPECT_EQ(heard.started[0].until, 5000);
+  EXPECT_TRUE(heard.started[0].may_cancel);
   core.ended(1010, 1, Outcome::kOk, "a\n");
   core.ended(1011, 1, Outcome::kOk, "late\n");
   core.turn(1020);
--- a/tests/gateway/gateway_test.cpp
+++ b/tests/gateway/gateway_test.cpp
@@ -130,6 +130,32 @@
   EXPECT_TRUE(soon([&] { return engine_.calls("DELETE /v1/store/0000000000000001") == 1; }));
 }
 
+TEST_F(Gateway, ACommandWhoseTimeIsOverIsGivenUpAtItsEngine) {
+  EXPECT_TRUE(has(ask(command(1, "select 1 /*! delay=9000 */", 400)), R"("error")"));
+  EXPECT_TRUE(soon([&] { return engine_.calls("DELETE /v1/store/0000000000000001") == 1; }));
+}
+
+TEST_F(Gateway, NothingIsGivenUpWhereTheSettingsForbidIt) {
+  std::string config = fleet_.config(address_);
+  const std::string allowed = R"("cancel":true)";
+  start(config.replace(config.find(allowed), allowed.size(), R"("cancel":false)"));
+  EXPECT_TRUE(has(ask(command(1, "select 1 /*! delay=9000 */", 400)), R"("error")"));
+  EXPECT_TRUE(has(ask(command(2, "select 1")), R"("result")"));  // what was owed before it has gone out
+  EXPECT_EQ(engine_.calls("DELETE"), 0);
+}
+
+class OneSlot : public Gateway {
+ protected:
+  void SetUp() override { start(engines_.config(address_)); }
+  standin::Fleet engines_{1, {1, 1e18}};
+};
+
+// A query unasked for would hold the engine's only slot for 2 s: longer than the second client waits.
+TEST_F(OneSlot, ACommandWhoseTimeIsOverLeavesItsSlotToTheNext) {
+  EXPECT_TRUE(has(ask(command(1, "select 1 /*! delay=9000 */", 400)), R"("error")"));
+  EXPECT_TRUE(has(ask(command(2, "select 1", 1500)), R"("result")"));
+}
+
 TEST_F(Gateway, AHalfClosedClientStillGetsItsAnswer) {
   StreamSocket client = connect();
   send(client, command(1, "select 1 /*! delay=50 */"));
