--- a/src/lab/scale/command_load.h
+++ b/src/lab/scale/command_load.h
@@ -15,6 +15,7 @@
  public:
   SteadyCommands(const std::string& gateway, double per_second, uint64_t seed);
   uint64_t answered() const { return answered_; }
+  client::Stats stats() const { return client_.stats(); }
 
  private:
   void send_until(const std::stop_token& stop);
--- a/src/standin/process.cpp
+++ b/src/standin/process.cpp
@@ -3,6 +3,7 @@
 #include <Poco/Net/NetException.h>
 #include <Poco/Net/StreamSocket.h>
 #include <fcntl.h>
+#include <linux/close_range.h>
 #include <signal.h>
 #include <stdlib.h>
 #include <sys/prctl.h>
@@ -58,6 +59,8 @@
     const int to = ::open(log_.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
     if (to >= 0) ::dup2(to, STDERR_FILENO);
   }
+  // It gets none of this process's connections: those that are closed here would stay open there.
+  ::close_range(STDERR_FILENO + 1, ~0U, CLOSE_RANGE_CLOEXEC);
   ::execve(program_.c_str(), words.data(), environment.data());
   ::_exit(127);
 }
