Scale run tells each point of the gateway as it is reached; its clients come back at once after a refusal

Need: a run that ends early for a busy machine left nothing to read of the points before. Refusals that follow a stutter kept the client library away, by their advice, for seconds.

--- a/src/lab/scale/command_load.cpp
+++ b/src/lab/scale/command_load.cpp
@@ -23,7 +23,9 @@
   options.links_most = connections;
   options.open_most = 100000;
   options.seed = seed;
-  // A stutter of this machine is no outage: clients that stayed away for seconds would be measured instead.
+  // A stutter of this machine is no outage, and a refusal after it no reason to stay away: clients that send
+  // nothing for seconds would be measured instead.
+  options.holdoff_most_ms = 0;
   options.silence_ms = kSilenceMs;
   options.spread_ms = kSpreadMs;
   options.spread_most_ms = kSpreadMostMs;
--- a/src/lab/scale/gateway_run.cpp
+++ b/src/lab/scale/gateway_run.cpp
@@ -99,6 +99,15 @@
   return seen.answered_share < kAnsweredLeast && seen.core_share < kCoreFull;
 }
 
+std::string point_text(const Observation& seen) {
+  return fmt::format(
+      "gateway: {} engines in {} zones, {} commands a second: {:.0f} us a command, {:.3f} of a core, {:.1f} "
+      "MB, "
+      "{} connections to engines, {:.0f} in 100 answered",
+      seen.load.view.engines, seen.load.view.zones, seen.load.rate, seen.microseconds_per_command,
+      seen.core_share, seen.memory.resident_mb, seen.engine_connections, 100 * seen.answered_share);
+}
+
 std::string starved_text(const Observation& seen) {
   const client::Stats& ends = seen.commands;
   return fmt::format(
@@ -233,6 +242,7 @@
     wait(seconds, what, check_all);
     std::vector<Observation> seen;
     for (const auto& gateway : gateways) seen.push_back(gateway->end_window());
+    for (const Observation& o : seen) progress_(point_text(o));
     return seen;
   }
 
