A keeper writes again after its disk filled up in the middle of a commit

Seen: Processes.AKeeperWhoseDiskIsFullSaysNothingUntilItTakesWritesAgain failed now and then on a busy machine; its keeper said 71 times that steps were not written, long after there was room again. Cause: where the disk fills up between a commit's data and its meta page, LMDB marks the environment as unusable (MDB_PANIC) until it is opened anew, and Folder never did. Ruled out: slowness, since the keeper tried every half second to its end. Change: Folder::write closes such an environment and opens it with the next write.

--- a/src/fleet/folder.cpp
+++ b/src/fleet/folder.cpp
@@ -52,12 +52,13 @@
 
 Folder::Folder(const std::string& path, const std::string& owner, uint64_t keepers,
                std::function<void()> wake)
-    : owner_(owner), keepers_(keepers), wake_(std::move(wake)) {
+    : path_(path), owner_(owner), keepers_(keepers), wake_(std::move(wake)) {
   try {
-    open(path);
+    lock();
+    open_environment();
     read();
   } catch (const std::exception& e) {
-    if (env_) mdb_env_close(env_);
+    close_environment();
     if (lock_ >= 0) ::close(lock_);
     fail(path, e.what());
   }
@@ -71,19 +72,22 @@
   }
   wanted_.notify_one();
   thread_.join();
-  mdb_env_close(env_);
+  close_environment();
   ::close(lock_);
 }
 
-void Folder::open(const std::string& path) {
+void Folder::lock() {
   std::error_code error;
-  std::filesystem::create_directories(path, error);
+  std::filesystem::create_directories(path_, error);
   if (error) throw std::runtime_error("cannot be made: " + error.message());
   // A file limit of the system is an error to be told, not an end of the process.
   ::signal(SIGXFSZ, SIG_IGN);
-  lock_ = ::open((path + "/used").c_str(), O_RDWR | O_CREAT | O_CLOEXEC, 0644);
+  lock_ = ::open((path_ + "/used").c_str(), O_RDWR | O_CREAT | O_CLOEXEC, 0644);
   if (lock_ < 0) throw std::runtime_error("cannot be written");
   if (::flock(lock_, LOCK_EX | LOCK_NB) != 0) throw std::runtime_error("another process uses it");
+}
+
+void Folder::open_environment() {
   const auto check = [](int result) {
     if (result != 0) throw std::runtime_error(mdb_strerror(result));
   };
@@ -91,7 +95,7 @@
   check(mdb_env_set_maxdbs(env_, 2));
   check(mdb_env_set_mapsize(env_, kMapBytes));
   // The loop's thread and the folder's never hold a transaction at once; the lock above keeps others out.
-  check(mdb_env_open(env_, path.c_str(), MDB_NOLOCK | MDB_NOTLS, 0644));
+  check(mdb_env_open(env_, path_.c_str(), MDB_NOLOCK | MDB_NOTLS, 0644));
   Transaction t(env_, 0);
   check(t.error);
   check(mdb_dbi_open(t.txn, "slots", MDB_CREATE, &slots_db_));
@@ -100,6 +104,11 @@
   check(t.error);
 }
 
+void Folder::close_environment() {
+  if (env_) mdb_env_close(env_);
+  env_ = nullptr;
+}
+
 void Folder::read() {
   Transaction t(env_, MDB_RDONLY);
   if (t.error) throw std::runtime_error(mdb_strerror(t.error));
@@ -147,14 +156,28 @@
   return out_;
 }
 
+// A disk that fills up while a commit writes its meta page leaves the environment unusable (MDB_PANIC) until
+// it is opened anew, also once the disk takes writes again.
 std::string Folder::write(const std::vector<record::Step>& steps) {
+  try {
+    if (!env_) open_environment();
+    const int error = commit(steps);
+    if (error == MDB_PANIC) close_environment();
+    return error ? mdb_strerror(error) : "";
+  } catch (const std::runtime_error& e) {
+    close_environment();
+    return e.what();
+  }
+}
+
+int Folder::commit(const std::vector<record::Step>& steps) {
   Transaction t(env_, 0);
   for (const record::Step& step : steps) {
     for (const auto& [key, slot] : step.writes) t.put(slots_db_, key, written(slot));
     if (step.standing) t.put(standing_db_, kStandingKey, written(Owned{*step.standing, owner_, keepers_}));
   }
   t.commit();
-  return t.error ? mdb_strerror(t.error) : "";
+  return t.error;
 }
 
 void Folder::run() {
--- a/src/fleet/folder.h
+++ b/src/fleet/folder.h
@@ -40,12 +40,15 @@
   size_t waiting() const;
 
  private:
-  void open(const std::string& path);
+  void lock();
+  void open_environment();  // throws std::runtime_error
+  void close_environment();
   void read();
   void run();
-  std::string write(const std::vector<record::Step>& steps);
+  std::string write(const std::vector<record::Step>& steps);  // why not; empty: they are on the disk
+  int commit(const std::vector<record::Step>& steps);         // LMDB's code
 
-  const std::string owner_;
+  const std::string path_, owner_;
   const uint64_t keepers_;
   std::function<void()> wake_;
   int lock_ = -1;
