--- a/src/lab/scale/cost_model.cpp
+++ b/src/lab/scale/cost_model.cpp
@@ -306,7 +306,7 @@
        "",
        {measured("collapse.served", "gateways")},
        at_least_assumed([](const FleetSize&) { return kServedLeast; }),
-       "connections to every engine, and attempts that add load (src/policy)",
+       "what gateways have out at engines, and what they leave there (src/policy, src/net/engines)",
        Owner::kProgram,
        "the bench's calm day at this size"},
       {PlannedLine::kMachines,
