--- a/src/index/wheel.h
+++ b/src/index/wheel.h
@@ -76,8 +76,9 @@
     marks_[static_cast<size_t>(level)][slot / 64] |= uint64_t{1} << (slot % 64);
   }
 
-  // Where the first slot of the level that holds anything begins, after now; 0: all are empty. Looks at the slots
-  // that may hold something alone: nodes leave without a word, so a mark may be left over, never missing.
+  // Where the first slot of the level that holds anything begins, after now; 0: all are empty. Looks at the
+  // slots that may hold something alone: nodes leave without a word, so a mark may be left over, never
+  // missing.
   uint64_t first_in(int level) const {
     auto& marks = marks_[static_cast<size_t>(level)];
     const uint64_t here = now_ >> (kBits * level);
--- a/src/lab/main.cpp
+++ b/src/lab/main.cpp
@@ -7,7 +7,8 @@
   CLI::App app("The laboratory of firvalve.", "firvalve-lab");
   int exit_code = 0;
   app.require_subcommand(1);
-  app.failure_message([](const CLI::App*, const CLI::Error& error) { return std::string(error.what()) + "\n"; });
+  app.failure_message(
+      [](const CLI::App*, const CLI::Error& error) { return std::string(error.what()) + "\n"; });
   firvalve::lab::add_load(app, exit_code);
   firvalve::lab::add_run(app, exit_code);
   firvalve::lab::add_scale(app, exit_code);
--- a/src/lab/scale/options.h
+++ b/src/lab/scale/options.h
@@ -19,8 +19,8 @@
   double seconds = 10;               // that each point is measured for
   uint64_t seed = 1;
   std::string program;  // the gateway's; empty: `firvalve` beside this process's own
-  std::string json;    // file to write the measurements to; empty: none
-  bool quick = false;  // small sizes and short times: a look, no figures to plan with
+  std::string json;     // file to write the measurements to; empty: none
+  bool quick = false;   // small sizes and short times: a look, no figures to plan with
 };
 
 }  // namespace firvalve::lab::scale
--- a/src/policy/rules.cpp
+++ b/src/policy/rules.cpp
@@ -376,7 +376,8 @@
   if (p.in_order && c.asked.has_key && s.key_rest > 0 &&
       (r.outcome == Outcome::kTimedOut || r.outcome == Outcome::kReset || r.outcome == Outcome::kCancelled))
     s.key_rests.push_back({c.asked.key, now + s.key_rest});
-  if (c.ended |= r.finished) return;
+  c.ended |= r.finished;
+  if (c.ended) return;
   c.want = Want::kHold;
   c.held_since = now;
   c.withdrawn = false;
--- a/src/record/keeper.cpp
+++ b/src/record/keeper.cpp
@@ -127,8 +127,7 @@
       Slot* const s = slot(m.key);
       const bool grows = s && m.fact.value.size() > s->fact.value.size() &&
                          bytes_ + m.fact.value.size() - s->fact.value.size() > terms_.bytes_most;
-      const bool large =
-          grows || m.fact.value.size() > kValueMost || m.fact.before.size() > kRemembered;
+      const bool large = grows || m.fact.value.size() > kValueMost || m.fact.before.size() > kRemembered;
       if (!s || large || (m.ballot < s->promised && !planted(Flaw::kNoPromise))) {
         Message out = answer(m, Say::kRefused);
         if (s) out.ballot = s->promised;
--- a/src/record/keeper.h
+++ b/src/record/keeper.h
@@ -23,9 +23,9 @@
 
 struct KeeperTerms {
   uint32_t self = 0, keepers = 3;
-  Ms ask_again = 200;      // between questions while it has no memory
-  Ms look_every = 250;     // changes that are not urgent are told to lookers so often
-  Ms look_longest = 1000;  // a look with nothing to tell is answered after it
+  Ms ask_again = 200;                         // between questions while it has no memory
+  Ms look_every = 250;                        // changes that are not urgent are told to lookers so often
+  Ms look_longest = 1000;                     // a look with nothing to tell is answered after it
   size_t page = 64, page_bytes = 256 * 1024;  // facts in one message, and about how large it gets
   size_t facts_most = 65536, bytes_most = 32 * 1024 * 1024;  // of values; beyond, what grows is refused
 };
--- a/tests/fleet/world_test.cpp
+++ b/tests/fleet/world_test.cpp
@@ -66,11 +66,11 @@
     agreed += out.history.bulletins.size();
     refused_changes += out.refused_changes;
   }
-  if (seeds < 20) return;  // shorter ones: what follows is of the whole
-  EXPECT_GT(agreed, 10 * seeds);           // versions and declarations that crossed
+  if (seeds < 20) return;                 // shorter ones: what follows is of the whole
+  EXPECT_GT(agreed, 10 * seeds);          // versions and declarations that crossed
   EXPECT_GT(refused_changes, 5 * seeds);  // of which not all could stand
-  EXPECT_GT(taken, 10 * seeds);            // faults did move duties
-  EXPECT_GT(refused, 0u);            // and acts of older epochs did arrive
+  EXPECT_GT(taken, 10 * seeds);           // faults did move duties
+  EXPECT_GT(refused, 0u);                 // and acts of older epochs did arrive
 }
 
 TEST(FleetWorld, AKilledHolderIsFollowedWithinItsLeaseAndASecond) {
@@ -135,7 +135,8 @@
                                          std::pair(Flaw::kCheckBeforeAgreement, "compatible"),
                                          std::pair(Flaw::kNoPromise, "linearizable")),
                          [](const auto& p) {
-                           return std::string(p.param.second) + std::to_string(static_cast<int>(p.param.first));
+                           return std::string(p.param.second) +
+                                  std::to_string(static_cast<int>(p.param.first));
                          });
 
 // A majority that loses its memory at once is past what is promised: nothing is agreed any more, and nothing
