--- a/tests/lab/capacity_test.cpp
+++ b/tests/lab/capacity_test.cpp
@@ -1,4 +1,5 @@
 // The capacity file, its fits and its page. Measurements here are samples that nobody measured.
+#include <fmt/format.h>
 #include <gtest/gtest.h>
 
 #include <cmath>
@@ -60,7 +61,7 @@
   return 1 + static_cast<int>(std::count(text.begin(), text.begin() + text.find(part), '\n'));
 }
 
-std::string on_line(int line, const std::string& why) { return "line " + std::to_string(line) + ": " + why; }
+std::string on_line(int line, const std::string& why) { return fmt::format("line {}: {}", line, why); }
 
 TEST(Fit, FindsEachFormAndItsSlope) {
   const Fit constant = fit_simplest(points_of([](double) { return 7.0; }));
