Logs for the incident: reasons of every cancel, refusal and close, the bus, clock steps

Change: the decision module names its reason with each cancel, shed and failure; the core tells the course of each command (debug) and counts the reasons; ends of connections have typed reasons; the bus tells its connections, losses and lists; a step of the wall clock is logged. No decision moves.

--- a/src/core/core.cpp
+++ b/src/core/core.cpp
@@ -10,9 +10,6 @@
 namespace firvalve {
 namespace {
 
-constexpr std::string_view kOutcomes[] = {"ok",    "failed",    "full", "timed out", "connect failed",
-                                          "reset", "cancelled", "moot", "spoilt"};
-
 CommandId command_id(std::string_view text) {
   CommandId id;
   std::copy_n(text.begin(), std::min(text.size(), id.text.size()), id.text.begin());
@@ -62,6 +59,17 @@
   return longest;
 }
 
+std::string_view Core::engine_name(uint32_t engine) const {
+  const auto at = listed_.find(engine);
+  return at == listed_.end() ? std::string_view() : at->second;
+}
+
+void Core::observe(Ms now, CommandEvent::Kind kind, const Id& id, const Held& h, Reason reason) const {
+  if (!observer_) return;
+  observer_(now, {kind, view(id), profiles_[static_cast<size_t>(h.profile)], engine_name(h.engine), h.sends,
+                  reason});
+}
+
 void Core::hear_now(Ms now, const Event& event) {
   now_ = now;
   hear(state_, now, event);
@@ -104,6 +112,7 @@
   t.memory_mb = asked.memory_mb;
   t.tables = asked.tables;
   t.repeat = !asked.first.empty();
+  observe(now, CommandEvent::Kind::kAdmitted, id.text, h);
   hear_now(now, t);
   if (paged) {
     h.paged = true;
@@ -155,6 +164,7 @@
 void Core::give_up(Ms now, HeldMap::iterator at, std::string_view why) {
   counters_.add("failed", profiles_[static_cast<size_t>(at->second.profile)]);
   tell(at->second, [&](CallRef call) { front_.fail(call, why); });
+  observe(now, CommandEvent::Kind::kFailed, at->first, at->second);
   const CommandId id{at->first};
   finish(at);
   hear_now(now, ClientGone{id});
@@ -196,6 +206,7 @@
     calls_.erase(at);
     return review_clients(now, id.text);
   }
+  observe(now, CommandEvent::Kind::kClientGone, id.text, h);
   finish(held_.find(id.text));
   hear_now(now, ClientGone{id});
 }
@@ -303,13 +314,17 @@
   const Id id = at->second;
   sends_.erase(at);
   const auto h = held_.find(id);
-  counters_.add("sends ended", kOutcomes[static_cast<size_t>(outcome)]);
+  counters_.add("sends ended", name_of(outcome));
   Settled s;
   s.id = CommandId{id};
   s.send = h->second.sends - 1;
   s.outcome = outcome;
   s.took = now - h->second.sent_at;
   h->second.send = 0;
+  if (observer_)
+    observer_(now,
+              {CommandEvent::Kind::kAttemptEnded, view(id), profiles_[static_cast<size_t>(h->second.profile)],
+               engine_name(h->second.engine), h->second.sends, Reason::kNone, outcome, s.took});
   if (outcome == Outcome::kOk && h->second.call != 0) {
     counters_.add("answered", profiles_[static_cast<size_t>(h->second.profile)]);
     if (h->second.paged) {
@@ -319,6 +334,7 @@
     } else {
       tell(h->second, [&](CallRef call) { front_.answer(call, rows); });
     }
+    observe(now, CommandEvent::Kind::kAnswered, id, h->second);
     finish(h);
     s.finished = true;
   } else if (h->second.call == 0) {
@@ -345,6 +361,7 @@
     if (h.send == 0 || h.overdue) continue;
     if (now >= h.gives_up_at) {
       h.overdue = true;
+      observe(now, CommandEvent::Kind::kAttemptCancelled, id, h, Reason::kDeadlineOver);
       back_.withdraw(now, h.send, Outcome::kTimedOut);
     } else {
       look_at_ = sooner(look_at_, h.gives_up_at);
@@ -372,8 +389,7 @@
     return;
   }
   if (a.kind == Action::Kind::kLog) {
-    const auto engine = listed_.find(a.engine);
-    return say_(a.text, engine == listed_.end() ? std::string() : engine->second);
+    return say_(a.text, std::string(engine_name(a.engine)));
   }
   const auto at = held_.find(a.id.text);
   if (at == held_.end()) return;
@@ -386,6 +402,8 @@
       h.sends += 1;
       h.sent_at = now;
       h.overdue = false;
+      h.engine = a.engine;
+      observe(now, CommandEvent::Kind::kAttemptStarted, at->first, h);
       sends_[h.send] = at->first;
       look_at_ = sooner(look_at_, h.gives_up_at);
       back_.start(now, {h.send, a.engine, view(at->first), profile, h.statement, h.gives_up_at, h.priority,
@@ -395,6 +413,8 @@
     case Action::Kind::kWithdraw:
       if (h.send == 0 || a.number != h.sends - 1) break;
       counters_.add("withdrawn", profile);
+      counters_.add("attempts cancelled:", name_of(a.reason));
+      observe(now, CommandEvent::Kind::kAttemptCancelled, at->first, h, a.reason);
       back_.withdraw(now, h.send, Outcome::kCancelled);
       break;
     case Action::Kind::kRank:
@@ -404,6 +424,9 @@
     case Action::Kind::kShed:
     case Action::Kind::kFail:
       counters_.add(a.kind == Action::Kind::kShed ? "shed" : "failed", profile);
+      counters_.add("commands ended unserved:", name_of(a.reason));
+      observe(now, a.kind == Action::Kind::kShed ? CommandEvent::Kind::kShed : CommandEvent::Kind::kFailed,
+              at->first, h, a.reason);
       tell(h, [&](CallRef call) {
         a.kind == Action::Kind::kShed ? front_.shed(call, a.wait) : front_.fail(call, "failed");
       });
--- a/src/core/core.h
+++ b/src/core/core.h
@@ -10,6 +10,7 @@
 #include <string_view>
 #include <vector>
 
+#include "core/command_event.h"
 #include "core/shelf.h"
 #include "policy/rules.h"
 
@@ -95,7 +96,9 @@
   Core(const Articles& articles, uint64_t seed, Front& front, Back& back, Counters& counters, Say say);
 
   void limit(size_t bytes) { most_held_ = bytes; }  // of statements in hand
-  void shelve(Shelf& shelf) { shelf_ = &shelf; }    // without one there are no paged answers
+  // Told of each command's and attempt's course; none: nobody is.
+  void observe(CommandObserver observer) { observer_ = std::move(observer); }
+  void shelve(Shelf& shelf) { shelf_ = &shelf; }  // without one there are no paged answers
   bool shelves() const { return shelf_ != nullptr; }
   ShelfNo found() const { return found_; }  // after kFound
   void room(Ms now);                        // the shelf may have a place again
@@ -133,7 +136,8 @@
     Id chain{};                   // the first id of its repeats: its own, or the one it was marked with
     std::string statement;
     int profile = 0, sends = 0, priority = -1;
-    uint64_t send = 0;  // out now; 0: none
+    uint32_t engine = 0;  // of the last attempt
+    uint64_t send = 0;    // out now; 0: none
     Ms gives_up_at = 0, sent_at = 0;
     bool overdue = false, half_closed = false;  // half closed: all clients that wait for it
     // Of a paged one: its place on the shelf, 0: it waits for one, and what the place is asked for with.
@@ -147,6 +151,9 @@
   void hear_now(Ms now, const Event& event);
   void end_overdue(Ms now);
   void carry_out(Ms now, const Action& action);
+  void observe(Ms now, CommandEvent::Kind kind, const Id& id, const Held& h,
+               Reason reason = Reason::kNone) const;
+  std::string_view engine_name(uint32_t engine) const;  // empty: it is listed no longer
   void erase(HeldMap::iterator at);
   void finish(HeldMap::iterator at);  // answered: it stays for as long as a send is out
   bool seek_place(Ms now, HeldMap::iterator at);
@@ -168,6 +175,7 @@
   Back& back_;
   Counters& counters_;
   Say say_;
+  CommandObserver observer_;
   HeldMap held_;
   struct Call {
     Id id{};
--- a/src/gateway/serve.cpp
+++ b/src/gateway/serve.cpp
@@ -3,10 +3,12 @@
 #include <fmt/format.h>
 #include <signal.h>
 
+#include <chrono>
 #include <cstdlib>
 #include <fstream>
 #include <functional>
 #include <iostream>
+#include <optional>
 #include <random>
 #include <sstream>
 
@@ -16,6 +18,7 @@
 #include "log/log.h"
 #include "net/bus.h"
 #include "net/clients.h"
+#include "net/clock_watch.h"
 #include "net/engines.h"
 #include "net/signals.h"
 #include "net/waker.h"
@@ -37,6 +40,18 @@
 
 using log::Level;
 
+constexpr Ms kClockLook = 1000;  // between looks whether the wall clock was stepped
+
+Ms wall_now() {
+  const auto since = std::chrono::system_clock::now().time_since_epoch();
+  return std::chrono::duration<double, std::milli>(since).count();
+}
+
+Ms monotonic_now() {
+  const auto since = std::chrono::steady_clock::now().time_since_epoch();
+  return std::chrono::duration<double, std::milli>(since).count();
+}
+
 void set_log(log::Log& logger, const config::Operator::Log& wish) {
   static constexpr std::pair<std::string_view, Level> kLevels[] = {{"debug", Level::kDebug},
                                                                    {"info", Level::kInfo},
@@ -160,6 +175,63 @@
   std::unique_ptr<spool::Spool> spool;
 };
 
+using Say = std::function<void(Level, std::string_view, log::Fields)>;
+
+void tell_bus_change(const Say& say, const net::BusChange& change) {
+  using Kind = net::BusChange::Kind;
+  const auto offset = std::to_string(change.offset);
+  const auto address = std::string(change.address);
+  switch (change.kind) {
+    case Kind::kConnected:
+      return say(Level::kInfo, "connected", {{"component", "bus"}, {"address", address}, {"from", offset}});
+    case Kind::kLost:
+      return say(Level::kInfo, "connection lost",
+                 {{"component", "bus"}, {"address", address}, {"why", std::string(change.reason)}});
+    case Kind::kMoveDue:
+      return say(Level::kInfo, "moves to another address", {{"component", "bus"}, {"address", address}});
+    case Kind::kListTaken:
+      return say(Level::kInfo, "list of engines changed",
+                 {{"component", "bus"},
+                  {"offset", offset},
+                  {"serving", std::to_string(change.serving)},
+                  {"draining", std::to_string(change.draining)},
+                  {"gone", std::to_string(change.gone)}});
+  }
+}
+
+void tell_command_event(log::Log& logger, Ms now, const CommandEvent& event) {
+  logger.write(
+      now, Level::kDebug, name_of(event.kind),
+      {{"component", "command"},
+       {"command", std::string(event.command)},
+       {"profile", std::string(event.profile)},
+       {"engine", std::string(event.engine)},
+       {"attempt", std::to_string(event.attempt)},
+       {"outcome", event.kind == CommandEvent::Kind::kAttemptEnded ? std::string(name_of(event.outcome))
+                                                                   : std::string()},
+       {"why", std::string(name_of(event.reason))},
+       {"took_ms", fmt::format("{:.1f}", event.took)}});
+}
+
+// Single commands, attempts and connections are told at the level `debug` alone: they are many.
+void observe(Core& core, net::Clients& clients, net::Engines& engines, log::Log& logger) {
+  core.observe([&logger](Ms now, const CommandEvent& event) {
+    if (logger.level() == Level::kDebug) tell_command_event(logger, now, event);
+  });
+  const auto told_as = [&logger](const char* component) {
+    return [&logger, component](Ms now, const net::ConnectionEnded& ended) {
+      if (logger.level() != Level::kDebug) return;
+      logger.write(now, Level::kDebug, "connection ended",
+                   {{"component", component},
+                    {"peer", std::string(ended.peer)},
+                    {"why", std::string(name_of(ended.why))},
+                    {"open_calls", std::to_string(ended.open_calls)}});
+    };
+  };
+  clients.observe(told_as("clients"));
+  engines.observe(told_as("engines"));
+}
+
 fleet::FleetTerms fleet_terms(const config::Operator::Fleet& wish, double memory) {
   fleet::FleetTerms terms = fleet::terms_of(wish);
   terms.record_bytes = static_cast<size_t>(kRecordPart * memory);
@@ -215,6 +287,7 @@
     clients.read_pages(*shelving.spool);
     shelving.spool->on_room = [&core](Ms now) { core.room(now); };
   }
+  observe(core, clients, engines, logger);
   net::Bus bus(loop, counters, told.bus, connect, kFirstPart * number(articles, "drain grace"), told.seed);
 
   for (proto::BusEvent& event : told.known) net::tell_roster(core, loop.now(), std::move(event));
@@ -223,6 +296,7 @@
     say(Level::kWarning, "a line of the event bus cannot be read; connecting anew",
         {{"component", "bus"}, {"line", std::string(line)}});
   };
+  bus.on_change = [&](Ms, const net::BusChange& change) { tell_bus_change(say, change); };
   clients.listen(told.listen, core);
   Ms ended_at = 0;  // SIGTERM came then
   net::Signals signals(loop, [&](int number) {
@@ -241,6 +315,7 @@
           say(Level::kError, "the one before stays in force", {{"component", "gateway"}, {"why", e.what()}});
         }
       };
+      say(Level::kInfo, "configuration read anew", {{"component", "gateway"}});
       try_to([&] { bus.move(loop.now(), read_told().bus); });
       try_to([&] {
         if (!operator_file.empty()) set_log(logger, read_wishes(operator_file).log);
@@ -255,7 +330,20 @@
     say(Level::kInfo, "ending: everything taken is answered first", {{"component", "gateway"}});
   });
   say(Level::kInfo, "serving", {{"component", "gateway"}, {"address", told.listen}});
+  net::ClockWatch clock_watch;
+  Ms clock_looked_at = 0;  // on the monotonic clock
+  const auto watch_clock = [&] {
+    const Ms monotonic = monotonic_now();
+    if (monotonic < clock_looked_at + kClockLook) return;
+    clock_looked_at = monotonic;
+    const std::optional<Ms> step = clock_watch.step(monotonic, wall_now());
+    if (!step) return;
+    counters.add("wall clock steps");
+    say(Level::kWarning, "the wall clock was stepped",
+        {{"component", "gateway"}, {"by_ms", fmt::format("{:.0f}", *step)}});
+  };
   loop.on_turn = [&](Ms now) {
+    watch_clock();
     bus.due(now);
     logger.due(now);
     engines.due(now);
--- a/src/net/bus.cpp
+++ b/src/net/bus.cpp
@@ -4,6 +4,8 @@
 
 #include <algorithm>
 
+#include "net/connection_end.h"
+
 namespace firvalve::net {
 
 class Bus::Connection : public Link {
@@ -15,6 +17,7 @@
   void on_up() override {
     write(proto::bus_request(owner_.last_));
     owner_.listen(loop_.now());
+    owner_.tell(loop_.now(), BusChange::Kind::kConnected);
   }
   void on_bytes() override {
     const Ms now = loop_.now();
@@ -22,12 +25,12 @@
     for (;;) {
       const proto::Read read = proto::next_line(inbox_, line);
       if (read == proto::Read::kMore) return;
-      if (read == proto::Read::kBroken) return owner_.lost(now);
+      if (read == proto::Read::kBroken) return owner_.lost(now, "unreadable");
       owner_.hear(now, line);
       if (!open()) return;
     }
   }
-  void on_end(End) override { owner_.lost(loop_.now()); }
+  void on_end(End end) override { owner_.lost(loop_.now(), name_of(end_of(end))); }
 
  private:
   Bus& owner_;
@@ -60,24 +63,44 @@
   core.roster(now, event.full, std::move(listings));
 }
 
+namespace {
+
+BusChange change_of(const proto::BusEvent& event, std::string_view address) {
+  BusChange change{BusChange::Kind::kListTaken, address, {}, event.offset};
+  for (const proto::BusListing& l : event.listings) {
+    change.serving += l.listing.life == Life::kReady;
+    change.draining += l.listing.life == Life::kDraining;
+    change.gone += l.listing.life == Life::kGone;
+  }
+  return change;
+}
+
+}  // namespace
+
 void Bus::hear(Ms now, std::span<char> line) {
   auto event = proto::read_bus_line(line);
   if (!event) {
     counters_.add("bus lines unreadable");
     if (on_unreadable) on_unreadable({line.data(), std::min<size_t>(line.size(), 200)});
-    return lost(now);
+    return lost(now, "unreadable");
   }
   listen(now);
   again_.well();
   if (event->offset <= last_ || (event->listings.empty() && !event->full)) return;
   last_ = event->offset;
   counters_.add("bus events");
+  if (on_change) on_change(now, change_of(*event, address_));
   tell_roster(*core_, now, std::move(*event));
 }
 
-void Bus::lost(Ms now) {
+void Bus::tell(Ms now, BusChange::Kind kind, std::string_view reason) const {
+  if (on_change) on_change(now, {kind, address_, reason, last_});
+}
+
+void Bus::lost(Ms now, std::string_view reason) {
   if (!link_) return;
   leave();
+  tell(now, BusChange::Kind::kLost, reason);
   counters_.add("bus connections lost");
   if (!moving_) due_at_ = now + again_.wait();
 }
@@ -97,11 +120,12 @@
   address_ = std::move(address);
   moving_ = true;
   due_at_ = now + again_.spread(kMoveSpread);
+  tell(now, BusChange::Kind::kMoveDue);
 }
 
 void Bus::due(Ms now) {
   if (now < due_at_) return;
-  if (link_ && !moving_) return lost(now);
+  if (link_ && !moving_) return lost(now, link_->up() ? "silent" : "connect time-out");
   moving_ = false;
   leave();
   try {
--- a/src/net/bus.h
+++ b/src/net/bus.h
@@ -11,6 +11,16 @@
 
 namespace firvalve::net {
 
+// What has happened to the connection, or was read from it: for the log. The views are good for the call
+// alone.
+struct BusChange {
+  enum class Kind { kConnected, kLost, kMoveDue, kListTaken };
+  Kind kind = Kind::kConnected;
+  std::string_view address, reason = {};       // of kLost
+  int64_t offset = 0;                          // the last event read
+  size_t serving = 0, draining = 0, gone = 0;  // of kListTaken: the engines that it names
+};
+
 class Bus {
  public:
   // first_within: from the start, by when it is asked at the latest.
@@ -22,6 +32,7 @@
     last_ = last;
   }
   std::function<void(std::string_view line)> on_unreadable;  // where it begins
+  std::function<void(Ms now, const BusChange& change)> on_change;
   void move(Ms now, std::string address);  // the numbers go on; the same address: nothing changes
   void due(Ms now);
   Ms next_due() const { return due_at_; }
@@ -29,7 +40,8 @@
  private:
   class Connection;
   void hear(Ms now, std::span<char> line);
-  void lost(Ms now);
+  void lost(Ms now, std::string_view reason);
+  void tell(Ms now, BusChange::Kind kind, std::string_view reason = {}) const;
   void leave();
   void listen(Ms now);  // for its silence; while it is to move, the moment drawn for that stands
 
--- a/src/net/clients.cpp
+++ b/src/net/clients.cpp
@@ -36,7 +36,7 @@
   bool spare() const override { return lingers() || (open_calls.empty() && quiet()); }
   void spared() override {
     owner_.counters_.add("client connections ended for want of room");
-    finish();
+    finish(ConnectionEnd::kEvicted);
   }
 
   void give_up_calls() {
@@ -48,11 +48,14 @@
     open_calls.clear();
   }
 
-  void finish() {
+  void finish(ConnectionEnd why) {
+    const size_t calls = open_calls.size();
     give_up_calls();
     close();
     const auto at = owner_.connections_.find(this);
     if (at == owner_.connections_.end()) return;
+    owner_.counters_.add("client connections closed:", name_of(why));
+    if (owner_.observer_) owner_.observer_(loop_.now(), {why, {}, calls});
     loop_.bury(std::move(at->second));
     owner_.connections_.erase(at);
   }
@@ -77,7 +80,7 @@
 
   void answered() {
     since_ = loop_.now();
-    if (peer_done && open_calls.empty() && unsent() == 0) finish();
+    if (peer_done && open_calls.empty() && unsent() == 0) finish(ConnectionEnd::kClosedByPeer);
   }
 
   // Guards against clients that connect and say nothing, stop within a message, ask once and stay, or do not
@@ -85,7 +88,7 @@
   // time.
   void look(Ms now) {
     if (lingers()) {
-      if (now - since_ > kLingerMost) finish();
+      if (now - since_ > kLingerMost) finish(ConnectionEnd::kInGoodOrder);
       return;
     }
     if (part_since_ > 0 && now - part_since_ > proto::kRpcPartMost) return break_off("message cut short");
@@ -128,7 +131,7 @@
     for (const auto& [id, call] : open_calls) owner_.core_->half_closed(now, call);
     return !open_calls.empty() || unsent() > 0;
   }
-  void on_end(End) override { finish(); }
+  void on_end(End end) override { finish(lingers() ? ConnectionEnd::kInGoodOrder : end_of(end)); }
 
  private:
   void hear(std::span<char> body);
--- a/src/net/clients.h
+++ b/src/net/clients.h
@@ -8,6 +8,7 @@
 
 #include "core/core.h"
 #include "core/fleet_calls.h"
+#include "net/connection_end.h"
 #include "net/link.h"
 #include "proto/jsonrpc/rpc.h"
 
@@ -27,6 +28,7 @@
 
   void read_pages(Shelf& shelf) { shelf_ = &shelf; }
   void ask_fleet(FleetCalls& fleet) { fleet_ = &fleet; }
+  void observe(ConnectionObserver observer) { observer_ = std::move(observer); }
   void read_marks(bool on) { marks_ = on; }  // of repeats; the operator's wish
   void listen(const std::string& address, Core& core);
   void answer(CallRef call, std::string_view rows) override;
@@ -53,6 +55,7 @@
   Loop& loop_;
   Counters& counters_;
   Core* core_ = nullptr;
+  ConnectionObserver observer_;
   FleetCalls* fleet_ = nullptr;  // none: this gateway is in no fleet
   Shelf* shelf_ = nullptr;       // none: there are no paged answers
   Poco::Net::ServerSocket listener_;
--- /dev/null
+++ b/src/net/connection_end.cpp
@@ -0,0 +1,17 @@
+#include "net/connection_end.h"
+
+namespace firvalve::net {
+
+std::string_view name_of(ConnectionEnd end) {
+  static constexpr std::string_view kNames[] = {
+      "refused", "connect time-out", "closed by peer", "reset",   "no answer",    "unreadable", "not kept",
+      "idle",    "attempt over",     "not listed",     "evicted", "in good order"};
+  return kNames[static_cast<size_t>(end)];
+}
+
+ConnectionEnd end_of(Link::End end) {
+  if (end == Link::End::kRefused) return ConnectionEnd::kRefused;
+  return end == Link::End::kReset ? ConnectionEnd::kReset : ConnectionEnd::kClosedByPeer;
+}
+
+}  // namespace firvalve::net
--- a/src/net/engines.cpp
+++ b/src/net/engines.cpp
@@ -34,7 +34,7 @@
   proto::HttpReader reader;
 
   bool spare() const override { return task == Task::kIdle; }
-  void spared() override { owner_.drop(*this); }
+  void spared() override { owner_.drop(*this, ConnectionEnd::kEvicted); }
 
  protected:
   void on_up() override { owner_.carry(*this, loop_.now()); }
@@ -57,7 +57,7 @@
     reader.reset();
     owner_.hear(*this, answer);
   }
-  void on_end(End end) override { owner_.lost(*this, end == End::kRefused ? Loss::kRefused : Loss::kEnded); }
+  void on_end(End end) override { owner_.lost(*this, end_of(end)); }
 
  private:
   Engines& owner_;
@@ -104,7 +104,7 @@
   while (!at->second.idle.empty()) {
     Connection* const link = at->second.idle.front();
     if (!link->quiet()) {
-      drop(*link);
+      drop(*link, ConnectionEnd::kClosedByPeer);
       continue;
     }
     at->second.idle.erase(at->second.idle.begin());
@@ -129,13 +129,15 @@
 
 // Guards against a send that comes to its engine after its final answer: bytes for a machine that is cut off
 // wait in the system and would go out when it is back, even from a closed connection.
-void Engines::drop(Connection& link) {
+void Engines::drop(Connection& link, ConnectionEnd why) {
   link.task == Task::kIdle ? link.close() : link.abort();
   const auto pool = pools_.find(link.engine);
   if (pool == pools_.end()) return;  // dropped before, as is what has no place in it any longer
   std::erase(pool->second.idle, &link);
   const auto at = pool->second.links.find(&link);
   if (at == pool->second.links.end()) return;
+  counters_.add("engine connections ended:", name_of(why));
+  if (observer_) observer_(loop_.now(), {why, link.host, link.task == Task::kSend ? 1u : 0u});
   loop_.bury(std::move(at->second));
   pool->second.links.erase(at);
   forget(link.engine);
@@ -143,7 +145,7 @@
 
 void Engines::drop_idle(uint32_t engine) {
   const std::vector<Connection*> idle = pools_.at(engine).idle;  // the pool may end with the last of them
-  for (Connection* const link : idle) drop(*link);
+  for (Connection* const link : idle) drop(*link, ConnectionEnd::kNotListed);
 }
 
 // A new task, or a new call of one, with its own time.
@@ -157,7 +159,7 @@
   link.send = 0;
   begin(link, now);
   Pool& pool = pools_.at(link.engine);
-  if (pool.sends == 0 && (pool.gone || pool.address.empty())) return drop(link);
+  if (pool.sends == 0 && (pool.gone || pool.address.empty())) return drop(link, ConnectionEnd::kNotListed);
   pool.idle.push_back(&link);
   for (const auto& [id, send] : sends_)
     if (send.refused_since > 0 && send.order.engine == link.engine) look_at_ = now;
@@ -265,6 +267,7 @@
   const uint64_t id = link.send;
   const Task task = link.task;
   const bool keeps = answer.keeps, readable = answer.status != 0;
+  const ConnectionEnd not_kept = readable ? ConnectionEnd::kNotKept : ConnectionEnd::kUnreadable;
   if (task == Task::kSend) {
     Send& send = sends_.at(id);
     send.told = true;
@@ -280,7 +283,7 @@
         send.on = nullptr;
         errand(id, {}, now);
         end(id, Outcome::kCancelled);
-        return keeps ? rest(link, now) : drop(link);
+        return keeps ? rest(link, now) : drop(link, not_kept);
       }
       slow = put == Shelf::Put::kSlow;
     }
@@ -288,7 +291,7 @@
       send.spoilt_since = 0;
       send.on = nullptr;
       ask_later(send, now, kSlowWait);
-      return keeps ? rest(link, now) : drop(link);
+      return keeps ? rest(link, now) : drop(link, not_kept);
     }
     if (step.next == proto::Query::Next::kAsk) {
       send.spoilt_since = 0;
@@ -306,31 +309,31 @@
       ask(id, now);
     } else {
       counters_.add("engine answers spoilt");
-      drop(link);
+      drop(link, ConnectionEnd::kUnreadable);
       if (send.spoilt_since > 0 && now - send.spoilt_since > proto::kUnaskedMost)
         return give_up(id, Outcome::kSpoilt, now);
       return ask_again(id, now);
     }
   } else if (task == Task::kErrand && link.ends_send) {
-    if (!readable) return lost(link, Loss::kSilent);
+    if (!readable) return lost(link, ConnectionEnd::kUnreadable);
     if (const auto at = sends_.find(id); at != sends_.end()) end(id, at->second.as);
   }
-  keeps ? rest(link, now) : drop(link);
+  keeps ? rest(link, now) : drop(link, not_kept);
 }
 
 // A connection has ended, or its call has had no answer in its time. What that proves: one that never came
 // up, or took only part of the start, has begun nothing. Else the query may run on, whatever becomes of the
 // connections that ask for it.
-void Engines::lost(Connection& link, Loss loss) {
+void Engines::lost(Connection& link, ConnectionEnd why) {
   const Ms now = loop_.now();
   const uint64_t id = link.send;
   const Task task = link.task;
   const bool ends_send = link.ends_send, was_up = link.up(), unsent = link.unsent() > 0;
-  drop(link);
+  drop(link, why);
   const auto at = sends_.find(id);
   if (at == sends_.end()) return;
   Send& send = at->second;
-  const bool refused = loss == Loss::kRefused;
+  const bool refused = why == ConnectionEnd::kRefused;
   if (task == Task::kErrand && ends_send) return refused ? ask_past_refusal(id, now) : ask(id, now);
   if (task != Task::kSend) return;
   send.on = nullptr;
@@ -350,7 +353,7 @@
     // Nothing else may use it before the answer to its last call has come.
     link.task = Task::kDiscard;
     begin(link, now);
-    if (!send.told || !link.up() || as != Outcome::kCancelled) drop(link);
+    if (!send.told || !link.up() || as != Outcome::kCancelled) drop(link, ConnectionEnd::kAttemptOver);
   }
   if (!begun) return end(id, as == Outcome::kCancelled ? Outcome::kMoot : as);
   if (as == Outcome::kCancelled) return give_up(id, as, now);
@@ -402,7 +405,7 @@
   const auto at = sends_.find(id);
   if (at == sends_.end()) return;
   const uint32_t engine = at->second.order.engine;
-  if (Connection* const link = at->second.on) drop(*link);
+  if (Connection* const link = at->second.on) drop(*link, ConnectionEnd::kAttemptOver);
   sends_.erase(at);
   Pool& pool = pools_.at(engine);
   pool.sends -= 1;
@@ -432,7 +435,13 @@
       if (at > 0 && now >= at) late.push_back(link);
       if (at > now) look_at_ = sooner(look_at_, at);
     }
-  for (Connection* const link : late) lost(*link, link->refused() ? Loss::kRefused : Loss::kSilent);
+  for (Connection* const link : late) lost(*link, why_late(*link));
+}
+
+ConnectionEnd Engines::why_late(const Connection& link) {
+  if (link.refused()) return ConnectionEnd::kRefused;
+  if (!link.up()) return ConnectionEnd::kConnectTimeout;
+  return link.task == Task::kIdle ? ConnectionEnd::kIdle : ConnectionEnd::kNoAnswer;
 }
 
 Ms Engines::ends_at(const Connection& link) const {
--- a/src/net/engines.h
+++ b/src/net/engines.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "core/core.h"
+#include "net/connection_end.h"
 #include "net/link.h"
 #include "proto/store/query.h"
 
@@ -23,6 +24,7 @@
   ~Engines() override;
 
   void serve(Core& core) { core_ = &core; }
+  void observe(ConnectionObserver observer) { observer_ = std::move(observer); }
   void start(Ms now, const Order& order) override;
   void withdraw(Ms now, uint64_t send, Outcome as) override;
   void rank(Ms now, uint64_t send, int priority) override;
@@ -61,13 +63,13 @@
 
   Connection* link_to(uint32_t engine, Ms now);  // idle or new; null: none can be had
   static Ms unasked_end(const Send& send);       // it has ended by then, unless it is asked for again
-  void drop(Connection& link);
+  void drop(Connection& link, ConnectionEnd why);
   void drop_idle(uint32_t engine);
   void rest(Connection& link, Ms now);
   void carry(Connection& link, Ms now);  // the link is up: what it is for goes out
   void hear(Connection& link, const proto::HttpAnswer& answer);
-  enum class Loss { kRefused, kEnded, kSilent };
-  void lost(Connection& link, Loss loss);
+  void lost(Connection& link, ConnectionEnd why);
+  static ConnectionEnd why_late(const Connection& link);
   void begin(Connection& link, Ms now);
   Ms ends_at(const Connection& link) const;  // 0: not by itself
   void look(Ms now);
@@ -88,6 +90,7 @@
   Times times_;
   size_t page_most_ = proto::kHttpBodyMost;
   Core* core_ = nullptr;
+  ConnectionObserver observer_;
   std::map<uint32_t, Pool> pools_;
   std::map<std::string, uint32_t, std::less<>> engine_at_;  // by address: the pool that has it
   std::map<uint64_t, Send> sends_;
--- a/src/policy/rules.cpp
+++ b/src/policy/rules.cpp
@@ -218,18 +218,26 @@
          in_window(p, c.may_have_run ? c.risked_at : c.sent_at, back);
 }
 
-void end(const State& s, Command& c, Ms now) { c.want = shed_is_true(s, c, now) ? Want::kShed : Want::kFail; }
+void end(const State& s, Command& c, Ms now, Reason reason) {
+  c.want = shed_is_true(s, c, now) ? Want::kShed : Want::kFail;
+  c.reason = reason;
+}
 
 bool has_left(const Command& c, Ms now) { return c.left_at > 0 && now > c.left_at + kLeftGrace; }
 
-// Whether no send of it may follow: a further one could run it twice, or nobody may wait for it any more.
-bool is_spent(const State& s, const Command& c, Ms now) {
+// Why no send of it may follow: a further one could run it twice, or nobody may wait for it any more. kNone:
+// one may.
+Reason why_spent(const State& s, const Command& c, Ms now) {
   const Profile& p = profile_of(s, c);
-  if (c.sends >= s.most_sends || has_left(c, now)) return true;
-  return c.may_have_run && (p.effect == Effect::kNonReplayable ||
-                            (p.effect == Effect::kUniqued && !in_window(p, c.risked_at, now)));
+  if (has_left(c, now)) return Reason::kClientGone;
+  if (c.sends >= s.most_sends) return Reason::kNoAttemptLeft;
+  const bool unsafe = c.may_have_run && (p.effect == Effect::kNonReplayable ||
+                                         (p.effect == Effect::kUniqued && !in_window(p, c.risked_at, now)));
+  return unsafe ? Reason::kUnsafeToRepeat : Reason::kNone;
 }
 
+bool is_spent(const State& s, const Command& c, Ms now) { return why_spent(s, c, now) != Reason::kNone; }
+
 void start_cold(State& s, Engine& e, Ms since) {
   e.cold_since = since;
   e.cold_phase = std::ldexp(s.chance.next(), -32);
@@ -381,7 +389,10 @@
   c.want = Want::kHold;
   c.held_since = now;
   c.withdrawn = false;
-  if (r.outcome == Outcome::kTimedOut || now >= c.asked.gives_up_at - kEndSlack) c.want = Want::kFail;
+  if (r.outcome == Outcome::kTimedOut || now >= c.asked.gives_up_at - kEndSlack) {
+    c.want = Want::kFail;
+    c.reason = Reason::kDeadlineOver;
+  }
 }
 
 // ---- Health -------------------------------------------------------------------------------------
@@ -735,6 +746,7 @@
     if (c.stuck || (e.silent && overdue(s, c, e, now))) {
       if (!budget_left(s, now)) continue;
       c.want = Want::kWithdraw;
+      c.reason = c.stuck ? Reason::kStandsStill : Reason::kEngineSilent;
       // Guards against spending all sends within moments on engines full alike: each move waits longer.
       if (c.stuck) c.rest_until = now + kMoveRest * c.alone * c.moves++;
       continue;
@@ -745,6 +757,7 @@
     const bool blind = c.share_done == 0 && !c.waited && ran > kBlind * usual_time(s, c, e);
     if ((blind || (whole > kBadPlan * again && whole - ran > again)) && budget_left(s, now)) {
       c.want = Want::kWithdraw;
+      c.reason = blind ? Reason::kNoProgress : Reason::kBadPlan;
       c.withdrawals += 1;
     }
   }
@@ -779,14 +792,15 @@
     const Ms expected = c.alone * s.usual_stretch;
     const bool hopeless = now + std::min(expected, kTryAnyway * (c.asked.gives_up_at - c.taken_at)) >
                           c.asked.gives_up_at - kEndSlack;
-    if (hopeless || is_spent(s, c, now)) {
-      end(s, c, now);
+    const Reason spent = why_spent(s, c, now);
+    if (hopeless || spent != Reason::kNone) {
+      end(s, c, now, spent != Reason::kNone ? spent : Reason::kTooLittleTime);
       continue;
     }
     // Guards an engine against holding a result that nobody has room for: without a place it only waits.
     if (c.placeless) continue;
     if (c.heavy && pool_overloaded) {
-      if (now - c.taken_at >= kHeavyHold) end(s, c, now);
+      if (now - c.taken_at >= kHeavyHold) end(s, c, now, Reason::kPoolOverloaded);
       continue;
     }
     if (now < c.rest_until || !has_turn(s, c, now) || (c.sends > 0 && !budget_left(s, now))) continue;
@@ -835,14 +849,16 @@
     a.id = id;
     return a;
   };
-  for (const CommandId& id : s.unknown) act(Action::Kind::kFail, id);
+  for (const CommandId& id : s.unknown) act(Action::Kind::kFail, id).reason = Reason::kUnknownProfile;
   s.unknown.clear();
   for (const int place : s.live) {
     Command& c = s.slab[place];
     if (c.ended) {
       // Work that serves nobody any more is called off: the client left while it ran.
       if (!c.out || c.withdrawn || !s.may_cancel) continue;
-      act(Action::Kind::kWithdraw, c.asked.id).number = c.sends - 1;
+      Action& a = act(Action::Kind::kWithdraw, c.asked.id);
+      a.number = c.sends - 1;
+      a.reason = Reason::kClientGone;
       c.withdrawn = true;
     } else if (c.want == Want::kOut && !c.out) {
       const bool rank = s.ranks && c.want_rank != c.rank, grant = s.grants && c.want_grant_mb != c.grant_mb;
@@ -859,11 +875,15 @@
       c.share_done = 0;
       c.sent_at = c.noted_at = now;
     } else if (c.want == Want::kWithdraw && c.out && !c.withdrawn) {
-      act(Action::Kind::kWithdraw, c.asked.id).number = c.sends - 1;
+      Action& a = act(Action::Kind::kWithdraw, c.asked.id);
+      a.number = c.sends - 1;
+      a.reason = c.reason;
       c.withdrawn = true;
     } else if (c.want == Want::kShed || c.want == Want::kFail) {
       const bool shed = c.want == Want::kShed;
-      act(shed ? Action::Kind::kShed : Action::Kind::kFail, c.asked.id).wait = shed ? s.shed_advice : 0;
+      Action& a = act(shed ? Action::Kind::kShed : Action::Kind::kFail, c.asked.id);
+      a.wait = shed ? s.shed_advice : 0;
+      a.reason = c.reason;
       c.ended = true;
     }
   }
--- a/src/policy/rules.h
+++ b/src/policy/rules.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <map>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <variant>
 #include <vector>
@@ -29,6 +30,22 @@
 enum class Outcome { kOk, kFailed, kFull, kTimedOut, kConnectFailed, kReset, kCancelled, kMoot, kSpoilt };
 enum class Life { kGone, kReady, kDraining };
 enum class NoteKind { kProgress = 1, kSpills = 2, kWaits = 3 };
+// Why an attempt is cancelled, or a command is shed or fails: for the log and the counters.
+enum class Reason {
+  kNone,
+  kEngineSilent,    // its engine owes a sign of life
+  kStandsStill,     // it waits for memory or behind a load, and has not begun
+  kNoProgress,      // no word of progress for several times its usual time
+  kBadPlan,         // at its pace it would run several times its predicted time
+  kClientGone,      // nobody waits for it any more
+  kTooLittleTime,   // it could not end before its client's deadline
+  kDeadlineOver,    // its client's deadline came while it ran
+  kNoAttemptLeft,   // all attempts that the settings allow were made
+  kUnsafeToRepeat,  // it may have run, and must not run again
+  kPoolOverloaded,  // a heavy command was held as long as such are while the pool is overloaded
+  kUnknownProfile,
+};
+std::string_view name_of(Reason reason);
 
 // ---- Events -------------------------------------------------------------------------------------
 
@@ -102,9 +119,10 @@
   Kind kind = Kind::kLog;
   CommandId id;
   uint32_t engine = 0;
-  int number = 0;        // the send to withdraw, the priority, the bell's ref
-  Ms wait = 0;           // until the bell; the advice with a shed
-  double memory_mb = 0;  // the grant, 0: the engine's own choice
+  int number = 0;                 // the send to withdraw, the priority, the bell's ref
+  Ms wait = 0;                    // until the bell; the advice with a shed
+  double memory_mb = 0;           // the grant, 0: the engine's own choice
+  Reason reason = Reason::kNone;  // of kWithdraw, kShed and kFail
   std::string text;
 };
 using Actions = std::vector<Action>;
@@ -211,6 +229,7 @@
   double grant_mb = 0;
   // Wanted state:
   Want want = Want::kHold;
+  Reason reason = Reason::kNone;  // of a wanted withdrawal or end
   int want_engine = -1, want_rank = -1;
   double want_grant_mb = 0;
 };
--- a/src/policy/state.cpp
+++ b/src/policy/state.cpp
@@ -6,6 +6,22 @@
 
 namespace firvalve {
 
+std::string_view name_of(Reason reason) {
+  static constexpr std::string_view kNames[] = {"none",
+                                                "engine silent",
+                                                "stands still",
+                                                "no progress",
+                                                "bad plan",
+                                                "client gone",
+                                                "too little time",
+                                                "deadline over",
+                                                "no attempt left",
+                                                "unsafe to repeat",
+                                                "pool overloaded",
+                                                "unknown profile"};
+  return kNames[static_cast<size_t>(reason)];
+}
+
 double number(const Articles& a, const std::string& name, double otherwise) {
   const auto at = a.find(name);
   const double* value = at == a.end() ? nullptr : std::get_if<double>(&at->second);
--- a/tests/core/core_test.cpp
+++ b/tests/core/core_test.cpp
@@ -109,6 +109,25 @@
   EXPECT_EQ(core.in_hand(), 0u);
 }
 
+// Each turn of a command's course is told, with the reason where it is one of ours.
+TEST_F(CoreTest, TheCourseOfACommandIsToldWithItsReasons) {
+  std::vector<std::string> told;
+  core.observe([&](Ms, const CommandEvent& event) {
+    told.push_back(std::string(name_of(event.kind)) + "/" + std::string(event.engine) + "/" +
+                   std::string(name_of(event.reason)));
+  });
+  list("s-1");
+  take(1);
+  core.turn(1000);
+  core.turn(5000);
+  core.ended(5000, 1, Outcome::kTimedOut);
+  core.turn(5005);
+  EXPECT_EQ(told, (std::vector<std::string>{"admitted//none", "attempt started/s-1/none",
+                                            "attempt cancelled/s-1/deadline over", "attempt ended/s-1/none",
+                                            "failed/s-1/deadline over"}));
+  EXPECT_EQ(counters.counts["commands ended unserved: deadline over"], 1u);
+}
+
 // A half-close: for a moment it is as any other, then nothing follows and it is told so.
 TEST_F(CoreTest, AHalfClosedClientsCommandIsSentAtOnceOrNeverAndAnswered) {
   take(1);
