--- a/src/standin/process.cpp
+++ b/src/standin/process.cpp
@@ -10,6 +10,7 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <cstdio>
 #include <fstream>
 #include <stdexcept>
@@ -17,8 +18,13 @@
 namespace firvalve::standin {
 
 Process::Process(std::string program, const std::string& config, std::vector<std::string> arguments,
-                 std::string log, Ends ends)
-    : program_(std::move(program)), arguments_(std::move(arguments)), log_(std::move(log)), ends_(ends) {
+                 std::string log, Ends ends, std::vector<std::string> environment)
+    : program_(std::move(program)),
+      arguments_(std::move(arguments)),
+      environment_(std::move(environment)),
+      log_(std::move(log)),
+      ends_(ends) {
+  environment_.push_back("NODE_CONFIG=");
   if (!config.empty()) {
     char name[] = "/tmp/firvalve-XXXXXX";
     const int descriptor = ::mkstemp(name);
@@ -37,16 +43,23 @@
 
 void Process::rewrite(const std::string& config) { std::ofstream(path_, std::ios::trunc) << config; }
 
+bool Process::is_replaced(std::string_view variable) const {
+  const std::string_view name = variable.substr(0, variable.find('=') + 1);
+  return std::any_of(environment_.begin(), environment_.end(),
+                     [&](const std::string& other) { return other.starts_with(name); });
+}
+
 void Process::start() {
   std::vector<char*> words{program_.data()};
   for (std::string& a : arguments_) words.push_back(a.data());
   words.push_back(nullptr);
   // All that allocates happens before the fork: other threads may hold the allocator then.
-  std::string told = "NODE_CONFIG=" + path_;
+  environment_.back() = "NODE_CONFIG=" + path_;
   std::vector<char*> environment;
   for (char** e = environ; *e; ++e)
-    if (!std::string_view(*e).starts_with("NODE_CONFIG=")) environment.push_back(*e);
-  if (!path_.empty()) environment.push_back(told.data());
+    if (!is_replaced(*e)) environment.push_back(*e);
+  for (std::string& variable : environment_)
+    if (variable != "NODE_CONFIG=") environment.push_back(variable.data());
   environment.push_back(nullptr);
   const pid_t starter = ::getpid();
   process_ = ::fork();
--- a/src/standin/process.h
+++ b/src/standin/process.h
@@ -4,6 +4,7 @@
 #include <sys/types.h>
 
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace firvalve::standin {
@@ -12,10 +13,11 @@
  public:
   // `config` is written to a file of its own, which NODE_CONFIG then names; empty: none.
   // Its standard error is added to `log`; empty: it goes where this process's goes.
+  // `environment`: NAME=VALUE each, beside this process's own or in place of what that has.
   // kWithItsStarter: the kernel ends it where the thread that started it ends, also by SIGKILL.
   enum class Ends { kByItself, kWithItsStarter };
   Process(std::string program, const std::string& config, std::vector<std::string> arguments = {},
-          std::string log = {}, Ends ends = Ends::kByItself);
+          std::string log = {}, Ends ends = Ends::kByItself, std::vector<std::string> environment = {});
   ~Process();  // SIGKILL, where it still runs
   Process(const Process&) = delete;
   Process& operator=(const Process&) = delete;
@@ -32,8 +34,10 @@
   static bool listens(const std::string& address);
 
  private:
+  bool is_replaced(std::string_view variable) const;  // by one of environment_
+
   std::string program_, path_;
-  std::vector<std::string> arguments_;
+  std::vector<std::string> arguments_, environment_;
   const std::string log_;
   const Ends ends_;
   pid_t process_ = 0;
--- a/tests/gateway/gateway_test.cpp
+++ b/tests/gateway/gateway_test.cpp
@@ -1,87 +1,20 @@
 // The program itself, spoken to over loopback sockets, with stand-ins for the engines and the event bus.
-#include <Poco/Net/NetException.h>
-#include <Poco/Net/StreamSocket.h>
 #include <gtest/gtest.h>
 #include <signal.h>
-#include <unistd.h>
 
 #include <algorithm>
 #include <cstdio>
 #include <fstream>
 #include <memory>
 
+#include "gateway/gateway_fixture.h"
 #include "gateway/speaking.h"
 #include "proto/base64.h"
 #include "soon.h"
-#include "standin/fleet.h"
-#include "standin/process.h"
 
 namespace firvalve {
 namespace {
 
-using Poco::Net::SocketAddress;
-using Poco::Net::StreamSocket;
-
-const Poco::Timespan kPatience(10, 0);  // of a test, for what comes within milliseconds
-
-// The next message with a head and a body of the stated length; empty: the peer has ended.
-std::string read_message(StreamSocket& peer, std::string& held) {
-  for (int waited = 0; waited < 500; ++waited) {
-    const size_t head = held.find("\r\n\r\n");
-    if (head != std::string::npos) {
-      const size_t at = held.find("Content-Length: ");
-      const size_t length = at < head ? std::stoul(held.substr(at + 16)) : 0;
-      if (held.size() >= head + 4 + length) {
-        const std::string message = held.substr(0, head + 4 + length);
-        held.erase(0, message.size());
-        return message;
-      }
-    }
-    if (!peer.poll(Poco::Timespan(0, 20000), Poco::Net::Socket::SELECT_READ)) continue;
-    char bytes[4096];
-    const int got = peer.receiveBytes(bytes, sizeof bytes);
-    if (got <= 0) return {};
-    held.append(bytes, static_cast<size_t>(got));
-  }
-  return {};
-}
-
-class Gateway : public testing::Test {
- protected:
-  void SetUp() override { start(fleet_.config(address_)); }
-  void start(const std::string& config, std::vector<std::string> arguments = {}) {
-    process_.reset();
-    config_ = config;
-    process_ = std::make_unique<standin::Process>(FIRVALVE_PROGRAM, config, std::move(arguments));
-  }
-  StreamSocket connect() {
-    for (int tries = 0;; ++tries) {
-      try {
-        StreamSocket client;
-        client.connect(SocketAddress(address_), kPatience);
-        return client;
-      } catch (const Poco::Exception&) {
-        if (tries == 1000) throw;
-        ::usleep(10000);
-      }
-    }
-  }
-  static void send(StreamSocket& client, const std::string& body) {
-    const std::string message = "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
-    client.sendBytes(message.data(), static_cast<int>(message.size()));
-  }
-  std::string ask(const std::string& body) {
-    StreamSocket client = connect();
-    send(client, body);
-    std::string held;
-    return read_message(client, held);
-  }
-  standin::Fleet fleet_{1};
-  standin::Engine& engine_ = fleet_.engine(0);
-  std::string address_ = standin::free_address(), config_;
-  std::unique_ptr<standin::Process> process_;
-};
-
 TEST_F(Gateway, AnswersWithAllRowsOfAllPages) {
   std::string rows;
   proto::append_base64(rows, "0\t0\trow 0 of page 0\n1\t0\trow 0 of page 1\n");
