Spans go by the monotonic clock: a stepped wall clock moves no deadline, wait or grace

Cause: Loop::now() read system_clock and held it at its highest value. After a step back time stood still: no time-out, no decision tick, no move or renewal of the event bus, no exit; gateways were told of no drain. After a step forward every wait was over at once: sends out were taken for silent and unasked, and went out again beside the first. Ruled out: late reading of lists and late starts (the list was never read), stalls. Change: monotonic_ms(), CLOCK_MONOTONIC counted from the Unix time of the start, for all loops; log lines alone show the wall clock.

--- a/src/gateway/serve.cpp
+++ b/src/gateway/serve.cpp
@@ -3,7 +3,6 @@
 #include <fmt/format.h>
 #include <signal.h>
 
-#include <chrono>
 #include <cstdlib>
 #include <fstream>
 #include <functional>
@@ -15,6 +14,7 @@
 #include "config/operator.h"
 #include "core/articles.h"
 #include "fleet/fleet.h"
+#include "index/monotonic_clock.h"
 #include "log/log.h"
 #include "net/bus.h"
 #include "net/clients.h"
@@ -29,8 +29,8 @@
 namespace {
 
 constexpr Ms kEndLook = 5;  // between looks whether all is answered, while ending
-constexpr int kDescriptorsKept =
-    16;  // beside those of the links: standard streams, the reactor, the listener, files
+// Beside those of the links: standard streams, the reactor, its timer, the listener, files, and some to spare.
+constexpr int kDescriptorsKept = 20;
 // Parts of the memory limit: of links' buffers, of the statements in hand, and of a keeper's record. The rest
 // is the program's own.
 constexpr double kBufferPart = 0.4, kStatementPart = 0.2, kRecordPart = 0.1;
@@ -42,16 +42,6 @@
 
 constexpr Ms kClockLook = 1000;  // between looks whether the wall clock was stepped
 
-Ms wall_now() {
-  const auto since = std::chrono::system_clock::now().time_since_epoch();
-  return std::chrono::duration<double, std::milli>(since).count();
-}
-
-Ms monotonic_now() {
-  const auto since = std::chrono::steady_clock::now().time_since_epoch();
-  return std::chrono::duration<double, std::milli>(since).count();
-}
-
 void set_log(log::Log& logger, const config::Operator::Log& wish) {
   static constexpr std::pair<std::string_view, Level> kLevels[] = {{"debug", Level::kDebug},
                                                                    {"info", Level::kInfo},
@@ -331,19 +321,18 @@
   });
   say(Level::kInfo, "serving", {{"component", "gateway"}, {"address", told.listen}});
   net::ClockWatch clock_watch;
-  Ms clock_looked_at = 0;  // on the monotonic clock
-  const auto watch_clock = [&] {
-    const Ms monotonic = monotonic_now();
-    if (monotonic < clock_looked_at + kClockLook) return;
-    clock_looked_at = monotonic;
-    const std::optional<Ms> step = clock_watch.step(monotonic, wall_now());
+  Ms clock_looked_at = 0;
+  const auto watch_clock = [&](Ms now) {
+    if (now < clock_looked_at + kClockLook) return;
+    clock_looked_at = now;
+    const std::optional<Ms> step = clock_watch.step(monotonic_ms(), wall_clock_ms());
     if (!step) return;
     counters.add("wall clock steps");
     say(Level::kWarning, "the wall clock was stepped",
         {{"component", "gateway"}, {"by_ms", fmt::format("{:.0f}", *step)}});
   };
   loop.on_turn = [&](Ms now) {
-    watch_clock();
+    watch_clock(now);
     bus.due(now);
     logger.due(now);
     engines.due(now);
--- /dev/null
+++ b/src/index/monotonic_clock.h
@@ -0,0 +1,35 @@
+// The one clock by which spans are measured: deadlines, windows, waits, graces, ages, leases.
+//
+// It goes by CLOCK_MONOTONIC, which nobody sets, and is counted from the Unix time at which this process
+// first asked for it: its readings lie near Unix time (such as the starts of engines are told in), but a step
+// of the wall clock does not move them. Where a time is shown to people, the wall clock itself is read.
+#pragma once
+
+#include <algorithm>
+#include <chrono>
+
+#include "index/units.h"
+
+namespace firvalve {
+
+// Ms since the Unix epoch, as the machine's wall clock has it now: for times that are shown, never for spans.
+inline Ms wall_clock_ms() {
+  const auto since = std::chrono::system_clock::now().time_since_epoch();
+  return std::chrono::duration<double, std::milli>(since).count();
+}
+
+// Ms since an unknown start. Never goes back.
+inline Ms steady_clock_ms() {
+  const auto since = std::chrono::steady_clock::now().time_since_epoch();
+  return std::chrono::duration<double, std::milli>(since).count();
+}
+
+// Ms since the Unix epoch, as the wall clock had it when this process first asked, and steady from there on.
+// The same for all threads and loops of the process. Above 0, which stands for "no time" elsewhere.
+inline Ms monotonic_ms() {
+  constexpr Ms kLeastStart = 1000;  // a machine whose wall clock was never set
+  static const Ms offset = std::max(wall_clock_ms(), kLeastStart) - steady_clock_ms();
+  return steady_clock_ms() + offset;
+}
+
+}  // namespace firvalve
--- a/src/lab/scale/client_loss.cpp
+++ b/src/lab/scale/client_loss.cpp
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "client/client.h"
+#include "index/monotonic_clock.h"
 #include "standin/gateway.h"
 
 namespace firvalve::lab::scale {
@@ -20,11 +21,6 @@
 constexpr Ms kCallTimeout = 2000;
 constexpr Ms kLookEvery = 5, kProgressEvery = 2000;
 
-Ms unix_ms() {
-  const auto since = std::chrono::system_clock::now().time_since_epoch();
-  return std::chrono::duration<double, std::milli>(since).count();
-}
-
 std::vector<Ms> accepted_between(const std::vector<const standin::Gateway*>& gateways, Ms from, Ms until) {
   std::vector<Ms> out;
   for (const standin::Gateway* const gateway : gateways)
@@ -54,13 +50,13 @@
       one.gateways = gateways;
       one.seed = options.seed * 1000003 + static_cast<uint64_t>(i);
       clients_.push_back(std::make_unique<client::Client>(one));
-      next_call_.push_back(unix_ms() + gap_(chance_));
+      next_call_.push_back(monotonic_ms() + gap_(chance_));
     }
   }
   void call_until(Ms until, const Progress& progress) {
-    while (unix_ms() < until) {
+    while (monotonic_ms() < until) {
       for (size_t i = 0; i < clients_.size(); ++i)
-        if (next_call_[i] <= unix_ms()) call(i);
+        if (next_call_[i] <= monotonic_ms()) call(i);
       progress_if_due(progress);
       std::this_thread::sleep_for(std::chrono::duration<double, std::milli>(kLookEvery));
     }
@@ -87,8 +83,8 @@
   }
   // Nothing to tell; an interrupt ends the run here.
   void progress_if_due(const Progress& progress) {
-    if (unix_ms() < next_progress_) return;
-    next_progress_ = unix_ms() + kProgressEvery;
+    if (monotonic_ms() < next_progress_) return;
+    next_progress_ = monotonic_ms() + kProgressEvery;
     progress(fmt::format("loss: {} clients, {} calls", clients_.size(), stats().calls));
   }
 
@@ -106,17 +102,17 @@
   standin::Host host;
   standin::Gateway lost(host), left(host), also_left(host);
   Clients clients(options, {lost.address(), left.address(), also_left.address()});
-  const Ms began = unix_ms();
+  const Ms began = monotonic_ms();
   clients.call_until(began + options.rest, progress);
 
-  const Ms lost_at = unix_ms();
+  const Ms lost_at = monotonic_ms();
   const client::Stats before = clients.stats();
   lost.kill(true);
   clients.call_until(lost_at + options.down, progress);
-  const Ms back_at = unix_ms();
+  const Ms back_at = monotonic_ms();
   lost.come_back();
   clients.call_until(back_at + options.back, progress);
-  const Ms end = unix_ms();
+  const Ms end = monotonic_ms();
   const client::Stats after = clients.stats();
 
   const std::vector<const standin::Gateway*> survivors = {&left, &also_left};
--- a/src/log/log.cpp
+++ b/src/log/log.cpp
@@ -11,6 +11,8 @@
 #include <cmath>
 #include <ctime>
 
+#include "index/monotonic_clock.h"
+
 namespace firvalve::log {
 namespace {
 
@@ -97,27 +99,27 @@
     : form_(form), level_(level), bursts_(kBurst), sink_(std::make_unique<Sink>()) {}
 Log::~Log() = default;
 
-void Log::put(Ms unix_now, Level level, std::string_view event, const std::vector<Field>& fields) {
+void Log::put(Level level, std::string_view event, const std::vector<Field>& fields) {
   static constexpr spdlog::level::level_enum kTo[] = {spdlog::level::debug, spdlog::level::info,
                                                       spdlog::level::warn, spdlog::level::err};
-  sink_->logger.log(kTo[static_cast<size_t>(level)], line_of(form_, unix_now, level, event, fields));
+  sink_->logger.log(kTo[static_cast<size_t>(level)], line_of(form_, wall_clock_ms(), level, event, fields));
 }
 
-void Log::write(Ms unix_now, Level level, std::string_view event, Fields fields) {
+void Log::write(Ms now, Level level, std::string_view event, Fields fields) {
   if (level < level_) return;
   std::string same(event);
   for (const Field& f : fields) same.append(" ").append(f.name).append("=").append(f.value);
-  if (!bursts_.hear(unix_now, same)) {
+  if (!bursts_.hear(now, same)) {
     levels_[same] = level;
     return;
   }
-  put(unix_now, level, event, fields);
+  put(level, event, fields);
 }
 
-void Log::due(Ms unix_now) {
-  for (const auto& [line, count] : bursts_.over(unix_now)) {
+void Log::due(Ms now) {
+  for (const auto& [line, count] : bursts_.over(now)) {
     const auto level = levels_.find(line);
-    put(unix_now, level == levels_.end() ? Level::kInfo : level->second, "repeated",
+    put(level == levels_.end() ? Level::kInfo : level->second, "repeated",
         {{"line", line}, {"times", std::to_string(count)}});
     if (level != levels_.end()) levels_.erase(level);
   }
--- a/src/log/log.h
+++ b/src/log/log.h
@@ -57,13 +57,14 @@
     level_ = level;
   }
   Level level() const { return level_; }
-  void write(Ms unix_now, Level level, std::string_view event, Fields fields = {});
-  void due(Ms unix_now);  // tells the counts of bursts that are over
+  // `now` measures bursts alone; the time of a line is the wall clock's.
+  void write(Ms now, Level level, std::string_view event, Fields fields = {});
+  void due(Ms now);  // tells the counts of bursts that are over
   Ms next_due() const { return bursts_.next_due(); }
 
  private:
   struct Sink;
-  void put(Ms unix_now, Level level, std::string_view event, const std::vector<Field>& fields);
+  void put(Level level, std::string_view event, const std::vector<Field>& fields);
   Form form_;
   Level level_;
   Bursts bursts_;
--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -1,16 +1,15 @@
 #include "net/loop.h"
 
-#include <chrono>
 #include <cmath>
 
+#include "index/monotonic_clock.h"
 #include "net/link.h"
 
 namespace firvalve::net {
 
 Ms Loop::now() {
   if (now_ == 0 || !turn_open_) {
-    const auto since = std::chrono::system_clock::now().time_since_epoch();
-    now_ = std::max(now_, std::chrono::duration<double, std::milli>(since).count());
+    now_ = monotonic_ms();
     turn_open_ = true;
   }
   return now_;
@@ -78,6 +77,7 @@
   buried_.clear();
   constexpr Ms kLongest = 1000;  // nothing is due: an idle look a second
   const Ms wait = due > 0 ? std::clamp(due - now(), 0.0, kLongest) : kLongest;
+  if (wait > 0) wake_timer_.ensure(now(), now() + wait);
   turn_open_ = false;
   setTimeout(Poco::Timespan(static_cast<Poco::Timespan::TimeDiff>(std::ceil(wait) * 1000)));
 }
--- a/src/net/loop.h
+++ b/src/net/loop.h
@@ -9,6 +9,7 @@
 #include <memory>
 #include <vector>
 
+#include "net/wake_timer.h"
 #include "policy/rules.h"
 
 namespace firvalve::net {
@@ -20,7 +21,8 @@
   // Called at the end of each turn; returns the next moment that something is due, 0: nothing is.
   std::function<Ms(Ms)> on_turn;
 
-  Ms now();                               // Unix time, never backwards; one value for the whole of a turn
+  // By monotonic_ms(): no step of the wall clock moves it. One value for the whole of a turn.
+  Ms now();
   void bury(std::unique_ptr<Link> link);  // destroyed once nothing of this turn can refer to it
 
   // The most that all links together may hold: descriptors, and bytes in their buffers.
@@ -46,6 +48,7 @@
   void shrink();
   Link* idlest(bool clients_alone, bool with_bytes, bool spare_alone) const;
 
+  WakeTimer wake_timer_{*this};
   Ms now_ = 0;
   bool turn_open_ = false;
   std::list<Link*> links_;  // the idlest first
--- /dev/null
+++ b/src/net/wake_timer.cpp
@@ -0,0 +1,58 @@
+#include "net/wake_timer.h"
+
+#include <Poco/NObserver.h>
+#include <Poco/Net/StreamSocket.h>
+#include <Poco/Net/StreamSocketImpl.h>
+#include <sys/timerfd.h>
+#include <unistd.h>
+
+#include <cmath>
+#include <stdexcept>
+
+namespace firvalve::net {
+
+using Poco::Net::ReadableNotification;
+using Poco::Net::StreamSocket;
+using Poco::Net::StreamSocketImpl;
+
+namespace {
+
+StreamSocket new_timer() {
+  const int descriptor = ::timerfd_create(CLOCK_MONOTONIC, TFD_NONBLOCK | TFD_CLOEXEC);
+  if (descriptor < 0) throw std::runtime_error("no timer to wake a loop by");
+  return StreamSocket(new StreamSocketImpl(descriptor));
+}
+
+timespec span_of(Ms span) {
+  constexpr Ms kSecond = 1000;
+  const Ms seconds = std::floor(span / kSecond);
+  return {static_cast<time_t>(seconds), static_cast<long>((span - seconds * kSecond) * 1e6)};
+}
+
+}  // namespace
+
+WakeTimer::WakeTimer(Poco::Net::SocketReactor& reactor) : reactor_(reactor), socket_(new_timer()) {
+  reactor_.addEventHandler(socket_,
+                           Poco::NObserver<WakeTimer, ReadableNotification>(*this, &WakeTimer::on_readable));
+}
+
+WakeTimer::~WakeTimer() {
+  reactor_.removeEventHandler(
+      socket_, Poco::NObserver<WakeTimer, ReadableNotification>(*this, &WakeTimer::on_readable));
+}
+
+void WakeTimer::ensure(Ms now, Ms at) {
+  if (set_for_ > now && set_for_ <= at + kSlack) return;
+  set_for_ = at + kSlack / 2;
+  itimerspec when{};
+  when.it_value = span_of(std::max(1.0, set_for_ - now));
+  ::timerfd_settime(socket_.impl()->sockfd(), 0, &when, nullptr);
+}
+
+void WakeTimer::on_readable(const Poco::AutoPtr<ReadableNotification>&) {
+  uint64_t times;
+  [[maybe_unused]] const ssize_t n = ::read(socket_.impl()->sockfd(), &times, sizeof times);
+  set_for_ = 0;
+}
+
+}  // namespace firvalve::net
--- a/src/standin/engine.h
+++ b/src/standin/engine.h
@@ -34,7 +34,7 @@
   int runs_most() const;                         // of any one statement
   int started() const;                           // queries, of all statements
   int calls(const std::string& start) const;     // calls whose first line begins so
-  Ms first_call_at() const;                      // Unix ms; 0: none came
+  Ms first_call_at() const;                      // by monotonic_ms(); 0: none came
   Ms last_call_at() const;
   // Of each query given up or ended since: how long it was held after its rows were ready, in ms.
   std::vector<Ms> held_after_ready() const;
--- a/src/standin/gateway.h
+++ b/src/standin/gateway.h
@@ -32,7 +32,7 @@
   std::vector<Heard> heard() const;  // commands, in order
   int heard(const std::string& statement) const;
   int revoked() const;
-  std::vector<Ms> accepted_at() const;  // Unix ms of each connection
+  std::vector<Ms> accepted_at() const;  // of each connection, by monotonic_ms()
 
  private:
   class Connection;
--- a/tests/gateway/stepped_clock.h
+++ b/tests/gateway/stepped_clock.h
@@ -38,8 +38,11 @@
   SteppedClock& operator=(const SteppedClock&) = delete;
 
   void step(Ms by) { shared_->step_ns += static_cast<int64_t>(by * 1e6); }
-  // So many of the program's waits end early, as interrupted.
-  void interrupt_waits(int count) { shared_->interrupts = count; }
+  // So many of the program's waits end early, as interrupted, and the clock is stepped within each.
+  void interrupt_waits(int count, Ms step) {
+    shared_->step_at_interrupt_ns = static_cast<int64_t>(step * 1e6);
+    shared_->interrupts = count;
+  }
 
   // What the program's environment needs. The sanitizers want to be loaded first, which is no matter here.
   std::vector<std::string> environment() const {
@@ -51,6 +54,7 @@
   struct Shared {
     std::atomic<int64_t> step_ns;
     std::atomic<int64_t> interrupts;
+    std::atomic<int64_t> step_at_interrupt_ns;
   };
   std::string path_;
   Shared* shared_ = nullptr;
--- a/tests/gateway/wall_clock_test.cpp
+++ b/tests/gateway/wall_clock_test.cpp
@@ -6,6 +6,7 @@
 
 #include "gateway/gateway_fixture.h"
 #include "gateway/stepped_clock.h"
+#include "index/monotonic_clock.h"
 #include "soon.h"
 
 namespace firvalve {
@@ -70,5 +71,60 @@
   EXPECT_EQ(engines_.engine(1).runs("select after"), 20);
 }
 
+TEST_F(WallClock, ACommandEndsWithItsClientsTimeAfterAStepBack) {
+  StreamSocket client = connect();
+  send(client, command(1, "insert 1 /*! silent */", 800, "load"));
+  ASSERT_TRUE(soon([&] { return calls("POST /v1/store") == 2; }));
+  clock_.step(-kHour);
+  const Ms began = monotonic_ms();
+  std::string held;
+  EXPECT_TRUE(has(read_message(client, held), R"("error")"));
+  EXPECT_LT(monotonic_ms() - began, 1200);
+}
+
+TEST_F(WallClock, ALostBusIsAskedAgainAfterAStepBack) {
+  clock_.step(-kHour);
+  engines_.bus().say_first("junk\n");  // at its next connection
+  standin::Bus moved(engines_.host());
+  moved.say_first("junk\n");
+  move_bus(moved);
+  EXPECT_TRUE(soon([&] { return moved.asked_from().size() >= 2; }));
+}
+
+TEST_F(WallClock, TheExitIsInTimeAfterAStep) {
+  for (const Ms by : {-kHour, kHour}) {
+    StreamSocket client = connect();
+    send(client, command(1, "insert 1 /*! delay=600 */", 4000, "load"));
+    const int posts = calls("POST /v1/store");
+    ASSERT_TRUE(soon([&] { return calls("POST /v1/store") >= posts; }));
+    process_->signal(SIGTERM);
+    ::usleep(100000);
+    clock_.step(by);
+    std::string held;
+    EXPECT_TRUE(has(read_message(client, held), R"("result")")) << by;
+    const Ms began = monotonic_ms();
+    EXPECT_EQ(process_->wait(), 0);
+    EXPECT_LT(monotonic_ms() - began, 3000);
+    start_with_attempts(3);
+    ask(command(kFirstId, "select first"));
+  }
+}
+
+// A step during a wait that is interrupted, as by a stop and a continue: nothing else wakes the process,
+// since neither its engine nor the bus says anything.
+TEST_F(WallClock, AStepWithinAnInterruptedWaitDoesNotLengthenIt) {
+  std::string config = engines_.config(address_);
+  const std::string bus = engines_.bus().address();
+  start(config.replace(config.find(bus), bus.size(), standin::free_address()));
+  StreamSocket client = connect();
+  send(client, command(1, "insert 1 /*! silent */", 1500, "load"));
+  ASSERT_TRUE(soon([&] { return engines_.runs("insert 1 /*! silent */") == 1; }));
+  const Ms began = monotonic_ms();
+  clock_.interrupt_waits(5, -kHour);
+  std::string held;
+  EXPECT_TRUE(has(read_message(client, held), R"("error")"));
+  EXPECT_LT(monotonic_ms() - began, 1800);
+}
+
 }  // namespace
 }  // namespace firvalve
--- a/tests/shim/clock_shim.cpp
+++ b/tests/shim/clock_shim.cpp
@@ -2,8 +2,9 @@
 // interrupts its waits, as an operator's clock daemon and a debugger would. The monotonic clock is left
 // alone.
 //
-// FIRVALVE_CLOCK_FILE names a file of two 64-bit numbers, which the test may change at any time:
-//   the step of the wall clock, in ns, and how many waits are still to be interrupted (EINTR).
+// FIRVALVE_CLOCK_FILE names a file of three 64-bit numbers, which the test may change at any time:
+//   the step of the wall clock, in ns; how many waits are still to be interrupted (EINTR); by how much each
+//   of these steps the wall clock, in ns.
 // Without the variable nothing is changed.
 #include <dlfcn.h>
 #include <fcntl.h>
@@ -13,6 +14,7 @@
 #include <time.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <atomic>
 #include <cerrno>
 #include <cstdint>
@@ -25,6 +27,7 @@
 struct Shared {
   std::atomic<int64_t> step_ns;
   std::atomic<int64_t> interrupts;
+  std::atomic<int64_t> step_at_interrupt_ns;
 };
 
 Shared* shared() {
@@ -78,17 +81,17 @@
   return now.tv_sec;
 }
 
-// Interrupted as by a stop and a continue (signal(7)): the wait goes on for a tenth of a second, and ends
-// early.
+// Interrupted as by a stop and a continue (signal(7)): half of the wait has gone by then.
 int epoll_wait(int epoll, epoll_event* events, int most, int timeout) {
   static const auto real = next<int(int, epoll_event*, int, int)>("epoll_wait");
   Shared* const told = shared();
-  constexpr int kUntilInterrupt = 20;  // ms
-  if (!told || told->interrupts.load() <= 0 || (timeout >= 0 && timeout <= kUntilInterrupt))
-    return real(epoll, events, most, timeout);
-  const int ready = real(epoll, events, most, kUntilInterrupt);
+  if (!told || told->interrupts.load() <= 0 || timeout == 0) return real(epoll, events, most, timeout);
+  constexpr int kLongestHalf = 20;  // ms
+  const int half = timeout < 0 ? kLongestHalf : std::min(timeout / 2, kLongestHalf);
+  const int ready = real(epoll, events, most, half);
   if (ready != 0) return ready;
-  if (told->interrupts.fetch_sub(1) <= 0) return real(epoll, events, most, timeout);
+  told->interrupts.fetch_sub(1);
+  told->step_ns += told->step_at_interrupt_ns;
   errno = EINTR;
   return -1;
 }
