An engine's start that cannot be true, by stepped clocks, counts as one now

A gateway whose clock stood an hour ahead when it started took a new engine for warm; one an hour behind took it for one that starts in an hour, with less than no warmth. Change: a start that lies ahead, or before the list was last known to be current (less the 8 s in which lists are told), is taken as now; a start is new when its told time has changed, no longer by comparing it with ours. The bus tells the module until when the list was current.

--- a/src/core/core.cpp
+++ b/src/core/core.cpp
@@ -276,9 +276,10 @@
   numbers_.erase(known);
 }
 
-void Core::roster(Ms now, bool full, std::vector<NamedListing> listings) {
+void Core::roster(Ms now, bool full, std::vector<NamedListing> listings, Ms current_at) {
   Roster r;
   r.full = full;
+  r.current_at = current_at;
   std::map<uint32_t, std::string> kept;
   for (NamedListing& l : listings) {
     l.listing.engine = number_of(l.name);
--- a/src/core/core.h
+++ b/src/core/core.h
@@ -107,7 +107,8 @@
   void half_closed(Ms now, CallRef call);           // its connection's stream has ended: it may be read still
   CallRef call_of(std::string_view command) const;  // 0: not in hand
   bool may_begin(Ms now, uint64_t send) const;      // asked right before a start is written
-  void roster(Ms now, bool full, std::vector<NamedListing> listings);
+  // current_at: the list was known to be current then, before this change; 0: it never was.
+  void roster(Ms now, bool full, std::vector<NamedListing> listings, Ms current_at = 0);
   void noted(Ms now, uint64_t send, NoteKind kind, double value);
   // Rows of a paged send, a page more.
   Shelf::Put page(Ms now, uint64_t send, std::string_view rows);
--- a/src/net/bus.cpp
+++ b/src/net/bus.cpp
@@ -56,11 +56,11 @@
 }
 Bus::~Bus() = default;
 
-void tell_roster(Core& core, Ms now, proto::BusEvent event) {
+void tell_roster(Core& core, Ms now, proto::BusEvent event, Ms current_at) {
   std::vector<NamedListing> listings;
   for (proto::BusListing& l : event.listings)
     listings.push_back({std::move(l.name), std::move(l.address), std::move(l.listing)});
-  core.roster(now, event.full, std::move(listings));
+  core.roster(now, event.full, std::move(listings), current_at);
 }
 
 namespace {
@@ -86,11 +86,13 @@
   }
   listen(now);
   again_.well();
-  if (event->offset <= last_ || (event->listings.empty() && !event->full)) return;
+  const bool is_number_alone = event->listings.empty() && !event->full;
+  if (is_number_alone && event->offset == last_) current_at_ = now;
+  if (event->offset <= last_ || is_number_alone) return;
   last_ = event->offset;
   counters_.add("bus events");
   if (on_change) on_change(now, change_of(*event, address_));
-  tell_roster(*core_, now, std::move(*event));
+  tell_roster(*core_, now, std::move(*event), current_at_);
 }
 
 void Bus::tell(Ms now, BusChange::Kind kind, std::string_view reason) const {
--- a/src/net/bus.h
+++ b/src/net/bus.h
@@ -51,6 +51,7 @@
   Ms connect_most_ = 0;
   Core* core_ = nullptr;
   int64_t last_ = 0;
+  Ms current_at_ = 0;  // the bus said that there is nothing after last_; 0: it has not yet
   std::unique_ptr<Connection> link_;
   Ms due_at_ = 0;        // connect, or give the connection up
   bool moving_ = false;  // the connection is to be given up for one to another address
@@ -58,6 +59,7 @@
 };
 
 // An event of the bus as the core takes it.
-void tell_roster(Core& core, Ms now, proto::BusEvent event);
+// current_at: the list was known to be current then, before this event; 0: it never was.
+void tell_roster(Core& core, Ms now, proto::BusEvent event, Ms current_at = 0);
 
 }  // namespace firvalve::net
--- a/src/policy/rules.cpp
+++ b/src/policy/rules.cpp
@@ -88,6 +88,7 @@
 constexpr double kColdPart = 0.5;     // of the allowed work to a cold engine: the rest is for chance
 constexpr double kColdSmall = 0.05;   // of that work: commands up to this come in numbers that even out
 constexpr double kCapacity = 0.85;    // of the cores: the bench's and the operators' meaning of capacity
+constexpr Ms kListLate = 8000;        // a list may be told so late: the protocol's 7 s, and the way
 constexpr double kSilentCold = 3000;  // ms of silence after which an engine may have started anew
 // Terms
 constexpr int kRankShort = 3;         // short commands first where cores or disks are short
@@ -267,8 +268,11 @@
     // Guards rule 4: a start within the warm-up makes a cold engine, whether it is new or came back.
     const bool joins = e->life == Life::kGone && l.life == Life::kReady && now > 0;
     e->life = l.life;
-    if (l.born > 0 && now - l.born < s.warm_up && e->cold_since < l.born) {
-      start_cold(s, *e, l.born);
+    const bool starts = l.born > 0 && l.born != e->born;
+    const Ms start = start_of(l.born, r.current_at, now);
+    e->born = l.born;
+    if (starts && now - start < s.warm_up && e->cold_since < start) {
+      start_cold(s, *e, start);
       // A new life: what the one before did tells nothing of it.
       e->tries = e->fails = 0;
       e->silent = false;
@@ -594,6 +598,17 @@
   return c && c->out && !c->ended && !c->withdrawn && may_run_on(s, *c, s.engines[c->engine], now);
 }
 
+// Guards rule 4 against a wall clock that was stepped, here or where the list is written: by it an engine
+// that has just started may seem an hour old, or not to have started yet, and would get the load of a warm
+// one, or none. A start cannot lie ahead; and one that the list did not hold when it was last known to be
+// current lies after that, but for the time in which lists are told. What contradicts these is taken as a
+// start now. It may cost a warm engine that joins late a warm-up.
+Ms start_of(Ms born, Ms current_at, Ms now) {
+  const bool is_ahead = born > now;
+  const bool is_older_than_news = current_at > 0 && born < current_at - kListLate;
+  return is_ahead || is_older_than_news ? now : born;
+}
+
 // The part of its capacity that an engine has by now, by an even ramp from the stated cold share.
 double warmth(const State& s, const Engine& e, Ms now) {
   if (e.cold_since < 0 || now - e.cold_since >= s.warm_up) return 1;
--- a/src/policy/rules.h
+++ b/src/policy/rules.h
@@ -54,11 +54,12 @@
   std::string zone, machine;
   int cell = 0;
   Life life = Life::kReady;
-  Ms born = 0;  // 0: long ago
+  Ms born = 0;  // its start, by the clock of the list's writer; 0: long ago
 };
 struct Roster {
   bool full = false;  // the whole list: what it omits is gone
   std::vector<Listing> listings;
+  Ms current_at = 0;  // the list was known to be current then, before this change; 0: it never was
 };
 struct Taken {
   CommandId id;
@@ -161,6 +162,7 @@
   int zone_number = 0;  // its zone's place in the state's zones
   int cell = 0;
   Life life = Life::kGone;
+  Ms born = 0;  // its start as last told
   double cores = 0;
   bool in_pool = false;
   // This gateway's own sends there:
@@ -331,6 +333,8 @@
 bool has_turn(const State& s, const Command& c, Ms now);
 bool budget_left(State& s, Ms now);
 double warmth(const State& s, const Engine& e, Ms now);
+// When an engine that is told to have started did so, on this gateway's clock.
+Ms start_of(Ms born, Ms current_at, Ms now);
 ColdRoom cold_room(const State& s, Engine& e, Ms work, Ms now);
 int choose(State& s, const Command& c, Ms now);
 
--- a/tests/policy/rules_test.cpp
+++ b/tests/policy/rules_test.cpp
@@ -286,6 +286,34 @@
   EXPECT_FALSE(s.engines[0].doubted);
 }
 
+// Wall clocks are stepped: what a list says of a start is believed where it can be true.
+TEST(ColdEngine, AStartThatCannotBeTrueCountsAsOneNow) {
+  constexpr Ms kNow = 1e9, kHour = 3.6e6;
+  EXPECT_EQ(start_of(kNow - 3000, 0, kNow), kNow - 3000);
+  EXPECT_EQ(start_of(kNow - 3000, kNow - 900, kNow), kNow - 3000);  // the list comes late
+  EXPECT_EQ(start_of(kNow + kHour, kNow - 900, kNow), kNow);
+  EXPECT_EQ(start_of(kNow - kHour, kNow - 900, kNow), kNow);
+  EXPECT_EQ(start_of(kNow - kHour, 0, kNow), kNow - kHour);             // a list of the start: it may be old
+  EXPECT_EQ(start_of(kNow - 50000, kNow - 60000, kNow), kNow - 50000);  // no news of the list for a minute
+}
+
+TEST(ColdEngine, ANewStartIsColdWhateverTheClocksSayAndIsTakenOnce) {
+  for (const Ms off : {-3.6e6, 0.0, 3.6e6}) {
+    constexpr Ms kNow = 1e9;
+    State s = with_a_cold_engine(1);
+    s.engines[0].cold_since = -1;
+    Listing again;
+    again.engine = 10;
+    again.born = kNow - 500 + off;
+    hear(s, kNow, Roster{false, {again}, kNow - 900});
+    EXPECT_LT(warmth(s, s.engines[0], kNow), 0.35) << off;
+    EXPECT_GE(warmth(s, s.engines[0], kNow), 0.3) << off;
+    hear(s, kNow + 5000, Roster{false, {again}, kNow + 4500});  // told again: it did not start anew
+    EXPECT_GT(warmth(s, s.engines[0], kNow + 5000), 0.6) << off;
+    EXPECT_EQ(warmth(s, s.engines[0], kNow + 11000), 1) << off;
+  }
+}
+
 TEST(ColdEngine, AnswerAfterLongSilenceCountsAsAStart) {
   State s = state_with(1, {profile(Effect::kReplayable)});
   Command& c = add_command(s);
