Leases on disk go by the time since boot: a clock step between two lives moves none

Change: the folder keeps by how much Unix time lies past CLOCK_BOOTTIME, with the boot's id; leases are written in that time. Folders of before open as they did, and the records keep their form.

--- a/src/gateway/serve.cpp
+++ b/src/gateway/serve.cpp
@@ -29,7 +29,8 @@
 namespace {
 
 constexpr Ms kEndLook = 5;  // between looks whether all is answered, while ending
-// Beside those of the links: standard streams, the reactor, its timer, the listener, files, and some to spare.
+// Beside those of the links: standard streams, the reactor, its timer, the listener, files, and some to
+// spare.
 constexpr int kDescriptorsKept = 20;
 // Parts of the memory limit: of links' buffers, of the statements in hand, and of a keeper's record. The rest
 // is the program's own.
@@ -150,14 +151,16 @@
                                            [&counters](std::string_view what) { counters.add(what); });
     if (wish.folder.empty()) return;
     waker = std::make_unique<net::Waker>(loop);  // the turn that follows looks at what the files have done
-    files = std::make_unique<spool::Files>(spool::Files::Terms{wish.folder}, loop.now(),
-                                           [w = waker.get()] { w->wake(); });
+    spool::Files::Terms files_terms;
+    files_terms.folder = wish.folder;
+    files_terms.boot = spool::boot_time();
+    files = std::make_unique<spool::Files>(files_terms, loop.now(), [w = waker.get()] { w->wake(); });
     if (files->cut + files->broken > 0)
       logger.write(loop.now(), Level::kWarning, "parts of the spool's folder left out",
                    {{"component", "spool"},
                     {"torn_tails_cut", std::to_string(files->cut)},
                     {"results_broken", std::to_string(files->broken)}});
-    spool->use(loop.now(), *files, files->found);
+    spool->use(loop.now(), *files, files->found, files->lease_offset());
     files->found.clear();
   }
   std::unique_ptr<net::Waker> waker;
--- a/src/spool/files.cpp
+++ b/src/spool/files.cpp
@@ -52,8 +52,7 @@
   return fmt::format("{}/segment-{:010}", terms_.folder, segment);
 }
 
-Files::Files(const Terms& terms, double unix_now, std::function<void()> wake)
-    : terms_(terms), wake_(std::move(wake)) {
+Files::Files(const Terms& terms, Ms now, std::function<void()> wake) : terms_(terms), wake_(std::move(wake)) {
   std::error_code error;
   std::filesystem::create_directories(terms_.folder, error);
   if (error) throw unusable(terms_.folder, error.message());
@@ -82,7 +81,11 @@
     if (end != std::string_view::npos && ::ftruncate(fd, static_cast<off_t>(end)) == 0) ++cut;
     ::close(fd);
   }
-  found = recovery.found(unix_now, broken);
+  if (terms_.boot) {
+    const Ms offset = lease_clock_offset(terms_.folder, *terms_.boot, now);
+    lease_offset_ = terms_.boot->since_boot + offset - now;
+  }
+  found = recovery.found(now + lease_offset_, broken);
   if (!numbers.empty()) {
     first_ = numbers.front();
     current_ = numbers.back();
--- a/src/spool/files.h
+++ b/src/spool/files.h
@@ -8,9 +8,11 @@
 #include <deque>
 #include <functional>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <thread>
 
+#include "spool/lease_clock.h"
 #include "spool/storage.h"
 
 namespace firvalve::spool {
@@ -20,11 +22,12 @@
   struct Terms {
     std::string folder;
     size_t segment_bytes = 16 * 1024 * 1024;
+    std::optional<BootTime> boot = std::nullopt;  // none: leases are written in the caller's own time
   };
   // Locks the folder, reads back what is there and cuts torn tails off. `wake` is called on the files' thread
   // when done() has something. Throws std::runtime_error in one sentence: the folder cannot be made or
   // written, or another gateway uses it.
-  Files(const Terms& terms, double unix_now, std::function<void()> wake);
+  Files(const Terms& terms, Ms now, std::function<void()> wake);
   ~Files() override;  // what waits is written first
 
   void append(uint64_t tag, Record record) override;
@@ -34,6 +37,8 @@
   size_t backlog() const override;
   size_t current() const override;
 
+  // By how much the time in which leases are written lies past the caller's.
+  Ms lease_offset() const { return lease_offset_; }
   // What was found at the start.
   std::vector<Found> found;
   size_t broken = 0, cut = 0;  // results with a page that cannot be read; segments with a torn tail
@@ -55,6 +60,7 @@
 
   const Terms terms_;
   std::function<void()> wake_;
+  Ms lease_offset_ = 0;
   int lock_ = -1, segment_fd_ = -1;
   size_t written_ = 0, first_ = 1;  // bytes of the current segment; the oldest that is there
   mutable std::mutex mutex_;
--- a/src/spool/page.h
+++ b/src/spool/page.h
@@ -36,7 +36,7 @@
   Token token{};
   uint64_t key_hash = 0;    // of the client's key; 0: none
   uint64_t chain_hash = 0;  // of what a marked repeat must match; 0: none
-  double lease_until = 0;   // Unix ms
+  double lease_until = 0;   // ms, in the folder's own time (lease_clock.h), which lies near Unix time
   uint32_t pages = 0;
   uint64_t rows = 0;
   std::string owner;
--- a/src/spool/spool.cpp
+++ b/src/spool/spool.cpp
@@ -41,11 +41,13 @@
   return hash(all) | 1;
 }
 
-void Spool::use(Ms now, Storage& storage, const std::vector<Found>& found) {
+void Spool::use(Ms now, Storage& storage, const std::vector<Found>& found, Ms lease_offset) {
   now_ = now;
+  lease_offset_ = lease_offset;
   storage_ = &storage;
   for (const Found& f : found) {
-    const ResultNo no = keeping_.restore(now, f.whole.owner, f.bytes, f.whole.lease_until - now);
+    const Ms lease_until = f.whole.lease_until - lease_offset_;
+    const ResultNo no = keeping_.restore(now, f.whole.owner, f.bytes, lease_until - now);
     if (no == 0) continue;
     Result& r = results_[no];
     r.token = f.whole.token;
@@ -54,7 +56,7 @@
     r.chain = f.whole.chain_hash;
     r.rows = f.whole.rows;
     r.whole = true;
-    r.told_until = f.whole.lease_until;
+    r.told_until = lease_until;
     r.life = f.life;
     r.stored_as = f.result;
     for (const Found::Place& place : f.pages) {
@@ -199,9 +201,10 @@
   Record record;
   record.kind = Record::Kind::kWhole;
   put_name(no, r, record);
-  record.whole = {r.token, r.key,  r.chain, now + terms_.keeping.lease, static_cast<uint32_t>(r.pages.size()),
-                  r.rows,  r.owner};
-  r.told_until = record.whole.lease_until;
+  r.told_until = now + terms_.keeping.lease;
+  record.whole = {
+      r.token, r.key,  r.chain, r.told_until + lease_offset_, static_cast<uint32_t>(r.pages.size()),
+      r.rows,  r.owner};
   storage_->append(0, std::move(record));
 }
 
--- a/src/spool/spool.h
+++ b/src/spool/spool.h
@@ -30,7 +30,8 @@
   ~Spool() override;
 
   // Results of earlier lives, and where pages go from here on. The storage must outlive the spool.
-  void use(Ms now, Storage& storage, const std::vector<Found>& found);
+  // lease_offset: by how much the time in which the storage holds leases lies past `now`.
+  void use(Ms now, Storage& storage, const std::vector<Found>& found, Ms lease_offset = 0);
   std::function<void(Ms now)> on_room;  // a place may be had again
 
   ShelfNo reserve(Ms now, const Wish& wish) override;
@@ -65,7 +66,8 @@
     std::vector<Page> pages;
     double raw = 0;
     bool whole = false;
-    Ms told_until = 0;  // the lease's end as the storage knows it; 0: it knows nothing of its being whole
+    Ms told_until =
+        0;  // the lease's end as the storage knows it, in our time; 0: it does not know it as whole
   };
   struct Writing {
     ResultNo no = 0;
@@ -95,6 +97,7 @@
   Keeping keeping_;
   Sizes sizes_;
   Storage* storage_ = nullptr;
+  Ms lease_offset_ = 0;
   std::unordered_map<ResultNo, Result> results_;
   std::unordered_multimap<uint64_t, ResultNo> tokens_, chains_;  // by hash
   std::unordered_map<uint64_t, Writing> writes_;
--- a/tests/spool/spool_test.cpp
+++ b/tests/spool/spool_test.cpp
@@ -350,6 +350,29 @@
   for (const std::string& a : answers) EXPECT_EQ(a, "gone");
 }
 
+// A lease is a span of real time over a restart, too: the wall clock was stepped by an hour in between.
+TEST_F(FilesTest, AStepOfTheWallClockBetweenTwoLivesMovesNoLease) {
+  constexpr Ms kHour = 3.6e6, kWall = 1e12;
+  for (const Ms step : {-kHour, kHour}) {
+    const std::string of_step = folder + (step > 0 ? "/ahead" : "/back");
+    const auto live_once = [&](Ms wall, BootTime boot) {  // gives how many results it found
+      Files files({of_step, 4000, std::move(boot)}, wall, [] {});
+      Spool spool(terms, static_cast<uint64_t>(wall), [](std::string_view) {});
+      spool.use(wall, files, files.found, files.lease_offset());
+      const ShelfNo no = spool.reserve(wall, {"x", "", "report", "select 1", "00000000000000a1", 1});
+      spool.page(wall, no, "page\tb\tc\n");
+      spool.whole(wall, no);
+      return files.found.size();
+    };
+    const Ms lease = terms.keeping.lease;
+    EXPECT_EQ(live_once(kWall, {"boot-1", 5000}), 0u);
+    EXPECT_EQ(live_once(kWall + step + lease / 2, {"boot-1", 5000 + lease / 2}), 1u) << step;
+    EXPECT_EQ(live_once(kWall + step + 2 * lease, {"boot-1", 5000 + 2 * lease}), 0u) << step;
+    // After a boot the wall clock is all there is.
+    EXPECT_EQ(live_once(kWall + 2.5 * lease, {"boot-2", 100}), 1u) << step;
+  }
+}
+
 TEST_F(FilesTest, ATornTailIsCutOffAndTheRestServed) {
   const auto tokens = live(5, 1000);
   std::string last;
