--- a/src/net/bus.cpp
+++ b/src/net/bus.cpp
@@ -120,8 +120,9 @@
 void Bus::move(Ms now, std::string address) {
   if (address == address_) return;
   address_ = std::move(address);
+  // Guards against configurations in a row that would each put the move off: the first one's moment stands.
+  if (!moving_) due_at_ = now + again_.spread(kMoveSpread);
   moving_ = true;
-  due_at_ = now + again_.spread(kMoveSpread);
   tell(now, BusChange::Kind::kMoveDue);
 }
 
--- a/tests/gateway/gateway_fixture.h
+++ b/tests/gateway/gateway_fixture.h
@@ -51,7 +51,7 @@
     config_ = config;
     process_ =
         std::make_unique<standin::Process>(FIRVALVE_PROGRAM, config, std::move(arguments), std::string(),
-                                           standin::Process::Ends::kByItself, environment_);
+                                           standin::Process::Ends::kWithItsStarter, environment_);
   }
   StreamSocket connect() {
     for (int tries = 0;; ++tries) {
--- a/tests/gateway/gateway_test.cpp
+++ b/tests/gateway/gateway_test.cpp
@@ -135,6 +135,26 @@
   EXPECT_TRUE(has(ask(command(3, "select 1")), R"("result")"));
 }
 
+TEST_F(Gateway, ConfigurationsInARowDoNotPutOffTheMoveOfTheBus) {
+  ask(command(1, "select 1"));  // it is ready
+  ASSERT_TRUE(soon([&] { return fleet_.bus().asked_from().size() == 1; }));
+  std::vector<std::unique_ptr<standin::Bus>> moved;
+  const auto asked = [&] {
+    return std::any_of(moved.begin(), moved.end(),
+                       [](const auto& bus) { return !bus->asked_from().empty(); });
+  };
+  constexpr int kConfigurations = 60;  // over 1.2 s; a move is due within one
+  for (int i = 0; i < kConfigurations && !asked(); ++i) {
+    moved.push_back(std::make_unique<standin::Bus>(fleet_.host()));
+    std::string config = config_;
+    const std::string from = fleet_.bus().address();
+    process_->rewrite(config.replace(config.find(from), from.size(), moved.back()->address()));
+    process_->signal(SIGHUP);
+    ::usleep(20000);
+  }
+  EXPECT_TRUE(asked());
+}
+
 // What proves that a send never ran, and what does not: docs/design.md, "Never ran".
 class NeverRan : public Gateway {
  protected:
