--- a/src/core/core.cpp
+++ b/src/core/core.cpp
@@ -354,7 +354,7 @@
   hear_now(now, Closing{at});
 }
 
-// A send ends with its client's patience at the latest, whatever its engine says.
+// An attempt ends at its client's deadline at the latest, whatever its engine says.
 void Core::end_overdue(Ms now) {
   if (look_at_ == 0 || now < look_at_) return;
   look_at_ = 0;
--- a/src/core/core.h
+++ b/src/core/core.h
@@ -202,7 +202,7 @@
   size_t most_held_ = SIZE_MAX, held_bytes_ = 0;
   Ms now_ = 0;  // of the last event
   Ms decided_at_ = 0, closes_at_ = 0;
-  Ms look_at_ = 0;     // no send out ends by its client's patience before; 0: none is out
+  Ms look_at_ = 0;     // no attempt out reaches its client's deadline before; 0: none is out
   bool heard_ = true;  // at start the module is asked once
 };
 
--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -12,7 +12,7 @@
 #include <cerrno>
 #include <cmath>
 
-#include "index/again.h"
+#include "index/backoff.h"
 #include "proto/jsonrpc/rpc.h"
 
 namespace firvalve::fleet {
@@ -56,7 +56,7 @@
       : owner_(owner),
         keeper_(keeper),
         address_(std::move(address)),
-        again_(kReconnectFirst, kReconnectMost, owner.terms_.draw + keeper) {}
+        backoff_(kReconnectFirst, kReconnectMost, owner.terms_.draw + keeper) {}
 
   void put(const std::string& bytes, Ms now) {
     if (!link_ || link_->unsent() + bytes.size() > kUnsentMost) return;  // who asked will ask again
@@ -91,7 +91,7 @@
 
    protected:
     void on_up() override {
-      owner_.again_.well();
+      owner_.backoff_.reset();
       owner_.up_before_ = true;
       owner_.owner_.say_(log::Level::kDebug, "member.reached",
                          {{"component", "fleet"}, {"peer", owner_.address_}});
@@ -123,14 +123,14 @@
     if (up_before_) owner_.fault(address_, why);
     up_before_ = false;
     asked_at_ = 0;
-    connect_at_ = now + again_.wait();
+    connect_at_ = now + backoff_.next_delay();
   }
 
   Fleet& owner_;
   const Peer keeper_;
   const std::string address_;
   std::unique_ptr<Dialled> link_;
-  Again again_;
+  Backoff backoff_;
   bool up_before_ = false;  // the first loss in a row is told
   Ms connect_at_ = 0, began_ = 0, asked_at_ = 0;
 };
--- a/src/index/again.h
+++ b/src/index/backoff.h
@@ -13,17 +13,17 @@
 
 namespace firvalve {
 
-class Again {
+class Backoff {
  public:
   // The first wait lies between half of `first` and one and a half times as much; none is longer than `most`.
-  Again(Ms first, Ms most, uint64_t seed) : first_(first), most_(std::max(first, most)), chance_(seed) {}
+  Backoff(Ms first, Ms most, uint64_t seed) : first_(first), most_(std::max(first, most)), chance_(seed) {}
 
-  Ms wait() {  // after a failure
+  Ms next_delay() {  // after a failure
     const Ms width =
         std::min(first_ * static_cast<double>(1 << std::min(failures_++, kDoublingsMost)), most_);
     return std::min(width / 2 + spread(width), most_);
   }
-  void well() { failures_ = 0; }  // it has come back: the next failure is the first again
+  void reset() { failures_ = 0; }  // it has come back: the next failure is the first again
   Ms spread(Ms over) { return std::uniform_real_distribution<Ms>(0, over)(chance_); }
 
  private:
--- a/src/net/bus.cpp
+++ b/src/net/bus.cpp
@@ -51,8 +51,8 @@
       counters_(counters),
       address_(std::move(address)),
       connect_most_(connect_most),
-      again_(connect_most, kAgainMost, seed) {
-  due_at_ = loop_.now() + again_.spread(std::min(connect_most_, first_within));
+      backoff_(connect_most, kAgainMost, seed) {
+  due_at_ = loop_.now() + backoff_.spread(std::min(connect_most_, first_within));
 }
 Bus::~Bus() = default;
 
@@ -85,7 +85,7 @@
     return lost(now, "unreadable");
   }
   listen(now);
-  again_.well();
+  backoff_.reset();
   const bool is_number_alone = event->listings.empty() && !event->full;
   if (is_number_alone && event->offset == last_) current_at_ = now;
   if (event->offset <= last_ || is_number_alone) return;
@@ -104,7 +104,7 @@
   leave();
   tell(now, BusChange::Kind::kLost, reason);
   counters_.add("bus connections lost");
-  if (!moving_) due_at_ = now + again_.wait();
+  if (!moving_) due_at_ = now + backoff_.next_delay();
 }
 
 void Bus::listen(Ms now) {
@@ -121,7 +121,7 @@
   if (address == address_) return;
   address_ = std::move(address);
   // Guards against configurations in a row that would each put the move off: the first one's moment stands.
-  if (!moving_) due_at_ = now + again_.spread(kMoveSpread);
+  if (!moving_) due_at_ = now + backoff_.spread(kMoveSpread);
   moving_ = true;
   tell(now, BusChange::Kind::kMoveDue);
 }
--- a/src/net/bus.h
+++ b/src/net/bus.h
@@ -5,7 +5,7 @@
 #include <memory>
 
 #include "core/core.h"
-#include "index/again.h"
+#include "index/backoff.h"
 #include "net/link.h"
 #include "proto/bus/bus.h"
 
@@ -55,7 +55,7 @@
   std::unique_ptr<Connection> link_;
   Ms due_at_ = 0;        // connect, or give the connection up
   bool moving_ = false;  // the connection is to be given up for one to another address
-  Again again_;
+  Backoff backoff_;
 };
 
 // An event of the bus as the core takes it.
--- a/src/record/asker.cpp
+++ b/src/record/asker.cpp
@@ -23,7 +23,7 @@
               0,
               0,
               0,
-              Again(terms_.first_wait, terms_.longest_wait, seed)};
+              Backoff(terms_.first_wait, terms_.longest_wait, seed)};
   attempt(now, std::move(round));
 }
 
@@ -58,7 +58,7 @@
   Round round = std::move(at->second);
   rounds_.erase(at);
   round.phase = Round::Phase::kWaits;
-  round.again_at = now + round.wait.wait();
+  round.again_at = now + round.backoff.next_delay();
   round.answers.clear();
   rounds_.emplace(++last_op_, std::move(round));
 }
--- a/src/record/asker.h
+++ b/src/record/asker.h
@@ -16,7 +16,7 @@
 #include <map>
 #include <optional>
 
-#include "index/again.h"
+#include "index/backoff.h"
 #include "record/fact.h"
 
 namespace firvalve::record {
@@ -82,7 +82,7 @@
     uint32_t refusals = 0;
     int repeats = 0;
     Ms again_at = 0;  // the silent are asked once more, or an attempt begins
-    Again wait;
+    Backoff backoff;
   };
   using Rounds = std::map<uint64_t, Round>;  // by the op of their present phase
 
