--- a/tests/fleet/wire_test.cpp
+++ b/tests/fleet/wire_test.cpp
@@ -1,5 +1,6 @@
 #include "fleet/wire.h"
 
+#include <fmt/format.h>
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
@@ -148,7 +149,7 @@
   {
     const auto folder = open();
     EXPECT_FALSE(folder->standing);
-    for (uint64_t i = 1; i <= 100; ++i) folder->put(step("k" + std::to_string(i % 10), i));
+    for (uint64_t i = 1; i <= 100; ++i) folder->put(step(fmt::format("k{}", i % 10), i));
   }
   const auto folder = open();
   ASSERT_TRUE(folder->standing);
