One clock reading since boot, typed reasons of the bus's losses, one way to tell the observer

Change: boot_clock_ms(), ConnectionEnd::kSilent, tell_observer(), send_message() and with() in the tests' headers.

--- a/src/core/core.cpp
+++ b/src/core/core.cpp
@@ -64,10 +64,11 @@
   return at == listed_.end() ? std::string_view() : at->second;
 }
 
-void Core::observe(Ms now, CommandEvent::Kind kind, const Id& id, const Held& h, Reason reason) const {
+void Core::tell_observer(Ms now, CommandEvent::Kind kind, const Id& id, const Held& h, Reason reason,
+                         Outcome outcome, Ms took) const {
   if (!observer_) return;
   observer_(now, {kind, view(id), profiles_[static_cast<size_t>(h.profile)], engine_name(h.engine), h.sends,
-                  reason});
+                  reason, outcome, took});
 }
 
 void Core::hear_now(Ms now, const Event& event) {
@@ -112,7 +113,7 @@
   t.memory_mb = asked.memory_mb;
   t.tables = asked.tables;
   t.repeat = !asked.first.empty();
-  observe(now, CommandEvent::Kind::kAdmitted, id.text, h);
+  tell_observer(now, CommandEvent::Kind::kAdmitted, id.text, h);
   hear_now(now, t);
   if (paged) {
     h.paged = true;
@@ -164,7 +165,7 @@
 void Core::give_up(Ms now, HeldMap::iterator at, std::string_view why) {
   counters_.add("failed", profiles_[static_cast<size_t>(at->second.profile)]);
   tell(at->second, [&](CallRef call) { front_.fail(call, why); });
-  observe(now, CommandEvent::Kind::kFailed, at->first, at->second);
+  tell_observer(now, CommandEvent::Kind::kFailed, at->first, at->second);
   const CommandId id{at->first};
   finish(at);
   hear_now(now, ClientGone{id});
@@ -206,7 +207,7 @@
     calls_.erase(at);
     return review_clients(now, id.text);
   }
-  observe(now, CommandEvent::Kind::kClientGone, id.text, h);
+  tell_observer(now, CommandEvent::Kind::kClientGone, id.text, h);
   finish(held_.find(id.text));
   hear_now(now, ClientGone{id});
 }
@@ -322,10 +323,7 @@
   s.outcome = outcome;
   s.took = now - h->second.sent_at;
   h->second.send = 0;
-  if (observer_)
-    observer_(now,
-              {CommandEvent::Kind::kAttemptEnded, view(id), profiles_[static_cast<size_t>(h->second.profile)],
-               engine_name(h->second.engine), h->second.sends, Reason::kNone, outcome, s.took});
+  tell_observer(now, CommandEvent::Kind::kAttemptEnded, id, h->second, Reason::kNone, outcome, s.took);
   if (outcome == Outcome::kOk && h->second.call != 0) {
     counters_.add("answered", profiles_[static_cast<size_t>(h->second.profile)]);
     if (h->second.paged) {
@@ -335,7 +333,7 @@
     } else {
       tell(h->second, [&](CallRef call) { front_.answer(call, rows); });
     }
-    observe(now, CommandEvent::Kind::kAnswered, id, h->second);
+    tell_observer(now, CommandEvent::Kind::kAnswered, id, h->second);
     finish(h);
     s.finished = true;
   } else if (h->second.call == 0) {
@@ -362,7 +360,7 @@
     if (h.send == 0 || h.overdue) continue;
     if (now >= h.gives_up_at) {
       h.overdue = true;
-      observe(now, CommandEvent::Kind::kAttemptCancelled, id, h, Reason::kDeadlineOver);
+      tell_observer(now, CommandEvent::Kind::kAttemptCancelled, id, h, Reason::kDeadlineOver);
       back_.withdraw(now, h.send, Outcome::kTimedOut);
     } else {
       look_at_ = sooner(look_at_, h.gives_up_at);
@@ -404,7 +402,7 @@
       h.sent_at = now;
       h.overdue = false;
       h.engine = a.engine;
-      observe(now, CommandEvent::Kind::kAttemptStarted, at->first, h);
+      tell_observer(now, CommandEvent::Kind::kAttemptStarted, at->first, h);
       sends_[h.send] = at->first;
       look_at_ = sooner(look_at_, h.gives_up_at);
       back_.start(now, {h.send, a.engine, view(at->first), profile, h.statement, h.gives_up_at, h.priority,
@@ -415,7 +413,7 @@
       if (h.send == 0 || a.number != h.sends - 1) break;
       counters_.add("withdrawn", profile);
       counters_.add("attempts cancelled:", name_of(a.reason));
-      observe(now, CommandEvent::Kind::kAttemptCancelled, at->first, h, a.reason);
+      tell_observer(now, CommandEvent::Kind::kAttemptCancelled, at->first, h, a.reason);
       back_.withdraw(now, h.send, Outcome::kCancelled);
       break;
     case Action::Kind::kRank:
@@ -426,8 +424,9 @@
     case Action::Kind::kFail:
       counters_.add(a.kind == Action::Kind::kShed ? "shed" : "failed", profile);
       counters_.add("commands ended unserved:", name_of(a.reason));
-      observe(now, a.kind == Action::Kind::kShed ? CommandEvent::Kind::kShed : CommandEvent::Kind::kFailed,
-              at->first, h, a.reason);
+      tell_observer(now,
+                    a.kind == Action::Kind::kShed ? CommandEvent::Kind::kShed : CommandEvent::Kind::kFailed,
+                    at->first, h, a.reason);
       tell(h, [&](CallRef call) {
         a.kind == Action::Kind::kShed ? front_.shed(call, a.wait) : front_.fail(call, "failed");
       });
--- a/src/core/core.h
+++ b/src/core/core.h
@@ -152,8 +152,8 @@
   void hear_now(Ms now, const Event& event);
   void end_overdue(Ms now);
   void carry_out(Ms now, const Action& action);
-  void observe(Ms now, CommandEvent::Kind kind, const Id& id, const Held& h,
-               Reason reason = Reason::kNone) const;
+  void tell_observer(Ms now, CommandEvent::Kind kind, const Id& id, const Held& h,
+                     Reason reason = Reason::kNone, Outcome outcome = Outcome::kOk, Ms took = 0) const;
   std::string_view engine_name(uint32_t engine) const;  // empty: it is listed no longer
   void erase(HeldMap::iterator at);
   void finish(HeldMap::iterator at);  // answered: it stays for as long as a send is out
--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -13,6 +13,7 @@
 #include <cmath>
 
 #include "index/backoff.h"
+#include "index/monotonic_clock.h"
 #include "proto/jsonrpc/rpc.h"
 
 namespace firvalve::fleet {
@@ -181,11 +182,7 @@
   return terms;
 }
 
-Ms Fleet::clock() {
-  timespec t{};
-  ::clock_gettime(CLOCK_BOOTTIME, &t);
-  return static_cast<double>(t.tv_sec) * 1000 + static_cast<double>(t.tv_nsec) / 1e6;
-}
+Ms Fleet::clock() { return boot_clock_ms(); }
 
 Fleet::Fleet(net::Loop& loop, Counters& counters, const FleetTerms& terms, Front& clients, Say say)
     : loop_(loop),
--- a/src/gateway/serve.cpp
+++ b/src/gateway/serve.cpp
@@ -179,7 +179,7 @@
       return say(Level::kInfo, "connected", {{"component", "bus"}, {"address", address}, {"from", offset}});
     case Kind::kLost:
       return say(Level::kInfo, "connection lost",
-                 {{"component", "bus"}, {"address", address}, {"why", std::string(change.reason)}});
+                 {{"component", "bus"}, {"address", address}, {"why", std::string(name_of(change.why))}});
     case Kind::kMoveDue:
       return say(Level::kInfo, "moves to another address", {{"component", "bus"}, {"address", address}});
     case Kind::kListTaken:
--- a/src/index/monotonic_clock.h
+++ b/src/index/monotonic_clock.h
@@ -5,6 +5,8 @@
 // of the wall clock does not move them. Where a time is shown to people, the wall clock itself is read.
 #pragma once
 
+#include <time.h>
+
 #include <algorithm>
 #include <chrono>
 
@@ -24,6 +26,13 @@
   return std::chrono::duration<double, std::milli>(since).count();
 }
 
+// Ms since this machine was started, sleep included (CLOCK_BOOTTIME).
+inline Ms boot_clock_ms() {
+  timespec time{};
+  ::clock_gettime(CLOCK_BOOTTIME, &time);
+  return static_cast<double>(time.tv_sec) * 1000 + static_cast<double>(time.tv_nsec) / 1e6;
+}
+
 // Ms since the Unix epoch, as the wall clock had it when this process first asked, and steady from there on.
 // The same for all threads and loops of the process. Above 0, which stands for "no time" elsewhere.
 inline Ms monotonic_ms() {
--- a/src/net/bus.cpp
+++ b/src/net/bus.cpp
@@ -4,8 +4,6 @@
 
 #include <algorithm>
 
-#include "net/connection_end.h"
-
 namespace firvalve::net {
 
 class Bus::Connection : public Link {
@@ -25,12 +23,12 @@
     for (;;) {
       const proto::Read read = proto::next_line(inbox_, line);
       if (read == proto::Read::kMore) return;
-      if (read == proto::Read::kBroken) return owner_.lost(now, "unreadable");
+      if (read == proto::Read::kBroken) return owner_.lost(now, ConnectionEnd::kUnreadable);
       owner_.hear(now, line);
       if (!open()) return;
     }
   }
-  void on_end(End end) override { owner_.lost(loop_.now(), name_of(end_of(end))); }
+  void on_end(End end) override { owner_.lost(loop_.now(), end_of(end)); }
 
  private:
   Bus& owner_;
@@ -41,6 +39,16 @@
 // break: with the silence before it a lost bus has been asked again by then.
 constexpr Ms kAgainMost = 1000;   // between attempts to reach it
 constexpr Ms kMoveSpread = 1000;  // over which the gateways go where a new configuration sends them
+
+BusChange change_of(const proto::BusEvent& event, std::string_view address) {
+  BusChange change{BusChange::Kind::kListTaken, address, {}, event.offset};
+  for (const proto::BusListing& l : event.listings) {
+    change.serving += l.listing.life == Life::kReady;
+    change.draining += l.listing.life == Life::kDraining;
+    change.gone += l.listing.life == Life::kGone;
+  }
+  return change;
+}
 }  // namespace
 
 // A fleet that starts together does not come to the bus in one moment. But what a gateway knows at its start
@@ -63,26 +71,12 @@
   core.roster(now, event.full, std::move(listings), current_at);
 }
 
-namespace {
-
-BusChange change_of(const proto::BusEvent& event, std::string_view address) {
-  BusChange change{BusChange::Kind::kListTaken, address, {}, event.offset};
-  for (const proto::BusListing& l : event.listings) {
-    change.serving += l.listing.life == Life::kReady;
-    change.draining += l.listing.life == Life::kDraining;
-    change.gone += l.listing.life == Life::kGone;
-  }
-  return change;
-}
-
-}  // namespace
-
 void Bus::hear(Ms now, std::span<char> line) {
   auto event = proto::read_bus_line(line);
   if (!event) {
     counters_.add("bus lines unreadable");
     if (on_unreadable) on_unreadable({line.data(), std::min<size_t>(line.size(), 200)});
-    return lost(now, "unreadable");
+    return lost(now, ConnectionEnd::kUnreadable);
   }
   listen(now);
   backoff_.reset();
@@ -95,14 +89,14 @@
   tell_roster(*core_, now, std::move(*event), current_at_);
 }
 
-void Bus::tell(Ms now, BusChange::Kind kind, std::string_view reason) const {
-  if (on_change) on_change(now, {kind, address_, reason, last_});
+void Bus::tell(Ms now, BusChange::Kind kind, ConnectionEnd why) const {
+  if (on_change) on_change(now, {kind, address_, why, last_});
 }
 
-void Bus::lost(Ms now, std::string_view reason) {
+void Bus::lost(Ms now, ConnectionEnd why) {
   if (!link_) return;
   leave();
-  tell(now, BusChange::Kind::kLost, reason);
+  tell(now, BusChange::Kind::kLost, why);
   counters_.add("bus connections lost");
   if (!moving_) due_at_ = now + backoff_.next_delay();
 }
@@ -128,7 +122,8 @@
 
 void Bus::due(Ms now) {
   if (now < due_at_) return;
-  if (link_ && !moving_) return lost(now, link_->up() ? "silent" : "connect time-out");
+  if (link_ && !moving_)
+    return lost(now, link_->up() ? ConnectionEnd::kSilent : ConnectionEnd::kConnectTimeout);
   moving_ = false;
   leave();
   try {
--- a/src/net/bus.h
+++ b/src/net/bus.h
@@ -6,6 +6,7 @@
 
 #include "core/core.h"
 #include "index/backoff.h"
+#include "net/connection_end.h"
 #include "net/link.h"
 #include "proto/bus/bus.h"
 
@@ -16,9 +17,10 @@
 struct BusChange {
   enum class Kind { kConnected, kLost, kMoveDue, kListTaken };
   Kind kind = Kind::kConnected;
-  std::string_view address, reason = {};       // of kLost
-  int64_t offset = 0;                          // the last event read
-  size_t serving = 0, draining = 0, gone = 0;  // of kListTaken: the engines that it names
+  std::string_view address;
+  ConnectionEnd why = ConnectionEnd::kClosedByPeer;  // of kLost
+  int64_t offset = 0;                                // the last event read
+  size_t serving = 0, draining = 0, gone = 0;        // of kListTaken: the engines that it names
 };
 
 class Bus {
@@ -40,8 +42,8 @@
  private:
   class Connection;
   void hear(Ms now, std::span<char> line);
-  void lost(Ms now, std::string_view reason);
-  void tell(Ms now, BusChange::Kind kind, std::string_view reason = {}) const;
+  void lost(Ms now, ConnectionEnd why);
+  void tell(Ms now, BusChange::Kind kind, ConnectionEnd why = ConnectionEnd::kClosedByPeer) const;
   void leave();
   void listen(Ms now);  // for its silence; while it is to move, the moment drawn for that stands
 
--- a/src/net/connection_end.cpp
+++ b/src/net/connection_end.cpp
@@ -4,8 +4,9 @@
 
 std::string_view name_of(ConnectionEnd end) {
   static constexpr std::string_view kNames[] = {
-      "refused", "connect time-out", "closed by peer", "reset",   "no answer",    "unreadable", "not kept",
-      "idle",    "attempt over",     "not listed",     "evicted", "in good order"};
+      "refused",    "connect time-out", "closed by peer", "reset", "silent",
+      "no answer",  "unreadable",       "not kept",       "idle",  "attempt over",
+      "not listed", "evicted",          "in good order"};
   return kNames[static_cast<size_t>(end)];
 }
 
--- a/src/net/connection_end.h
+++ b/src/net/connection_end.h
@@ -13,6 +13,7 @@
   kConnectTimeout,
   kClosedByPeer,
   kReset,
+  kSilent,       // said nothing for longer than it may
   kNoAnswer,     // in the time that the protocol states for one
   kUnreadable,   // bytes that are no answer, or an answer nobody asked for
   kNotKept,      // its last answer asked for the end, or leaves it in doubt
--- a/src/spool/lease_clock.cpp
+++ b/src/spool/lease_clock.cpp
@@ -1,20 +1,19 @@
 #include "spool/lease_clock.h"
 
 #include <fmt/format.h>
-#include <time.h>
 
 #include <cmath>
 #include <cstdio>
 #include <fstream>
 
+#include "index/monotonic_clock.h"
+
 namespace firvalve::spool {
 
 BootTime boot_time() {
   BootTime out;
   std::ifstream("/proc/sys/kernel/random/boot_id") >> out.boot_id;
-  timespec time{};
-  ::clock_gettime(CLOCK_BOOTTIME, &time);
-  out.since_boot = static_cast<double>(time.tv_sec) * 1000 + static_cast<double>(time.tv_nsec) / 1e6;
+  out.since_boot = boot_clock_ms();
   return out;
 }
 
@@ -22,9 +21,9 @@
   const std::string path = folder + "/clock";
   std::string held_id;
   Ms held_offset = 0;
-  std::ifstream(path) >> held_id >> held_offset;
-  const bool is_held = !boot.boot_id.empty() && held_id == boot.boot_id && std::isfinite(held_offset);
-  if (is_held && held_offset != 0) return held_offset;
+  std::ifstream held(path);
+  const bool is_read = static_cast<bool>(held >> held_id >> held_offset) && std::isfinite(held_offset);
+  if (is_read && held_id == boot.boot_id) return held_offset;
   const Ms offset = unix_now - boot.since_boot;
   // Whole or not at all: a kill must not leave half a number.
   const std::string fresh = path + ".new";
--- a/tests/gateway/clock_faults_test.cpp
+++ b/tests/gateway/clock_faults_test.cpp
@@ -61,13 +61,9 @@
 
   // Three attempts a command: a second copy is made where the gateway believes that one is due.
   std::string config_of(const FaultyGateway& gateway, const std::string& bus) {
-    std::string config = engines_.config(gateway.address);
-    const auto replace = [&config](const std::string& from, const std::string& to) {
-      config.replace(config.find(from), from.size(), to);
-    };
-    replace(R"("try_limit":1,)", R"("try_limit":3,)");
-    replace(engines_.bus().address(), bus);
-    return config;
+    const std::string config =
+        with(engines_.config(gateway.address), R"("try_limit":1,)", R"("try_limit":3,)");
+    return with(config, engines_.bus().address(), bus);
   }
 
   int draw(int below) { return static_cast<int>(chance_() % static_cast<unsigned>(below)); }
@@ -78,9 +74,7 @@
     sent.statement = fmt::format("select {} /*! delay={} */", id, draw(5) * 25);
     sent.at = monotonic_ms();
     const char* const profile = draw(3) == 0 ? "load" : "lookup";
-    const std::string body = command(id, sent.statement, kTimeout, profile);
-    const std::string message = fmt::format("Content-Length: {}\r\n\r\n{}", body.size(), body);
-    gateway.client.sendBytes(message.data(), static_cast<int>(message.size()));
+    send_message(gateway.client, command(id, sent.statement, kTimeout, profile));
   }
 
   void step_clock(FaultyGateway& gateway) {
--- a/tests/gateway/endings_test.cpp
+++ b/tests/gateway/endings_test.cpp
@@ -83,11 +83,6 @@
 
 constexpr const char* kHeartbeat = R"({"jsonrpc":"2.0","id":9,"method":"heartbeat","params":{}})";
 
-std::string with(std::string config, const std::string& from, const std::string& to) {
-  const size_t at = config.find(from);
-  return at == std::string::npos ? config : config.replace(at, from.size(), to);
-}
-
 class Endings : public testing::Test {
  protected:
   void start(const std::string& config) {
--- a/tests/gateway/gateway_fixture.h
+++ b/tests/gateway/gateway_fixture.h
@@ -21,6 +21,11 @@
 
 inline const Poco::Timespan kConnectTimeout(10, 0);  // of a test, for what comes within milliseconds
 
+inline void send_message(StreamSocket& peer, const std::string& body) {
+  const std::string message = "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+  peer.sendBytes(message.data(), static_cast<int>(message.size()));
+}
+
 // The next message with a head and a body of the stated length; empty: the peer has ended.
 inline std::string read_message(StreamSocket& peer, std::string& held) {
   for (int waited = 0; waited < 500; ++waited) {
@@ -65,10 +70,7 @@
       }
     }
   }
-  static void send(StreamSocket& client, const std::string& body) {
-    const std::string message = "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
-    client.sendBytes(message.data(), static_cast<int>(message.size()));
-  }
+  static void send(StreamSocket& client, const std::string& body) { send_message(client, body); }
   std::string ask(const std::string& body) {
     StreamSocket client = connect();
     send(client, body);
--- a/tests/gateway/speaking.h
+++ b/tests/gateway/speaking.h
@@ -23,4 +23,10 @@
   return text.find(part) != std::string::npos;
 }
 
+// A configuration with the first `from` replaced; as it was where that does not stand in it.
+inline std::string with(std::string config, const std::string& from, const std::string& to) {
+  const size_t at = config.find(from);
+  return at == std::string::npos ? config : config.replace(at, from.size(), to);
+}
+
 }  // namespace firvalve
--- a/tests/gateway/wall_clock_test.cpp
+++ b/tests/gateway/wall_clock_test.cpp
@@ -23,9 +23,7 @@
   }
   // Two engines, and so many attempts a command.
   void start_with_attempts(int attempts) {
-    std::string config = engines_.config(address_);
-    const std::string one = R"("try_limit":1,)";
-    start(config.replace(config.find(one), one.size(), fmt::format(R"("try_limit":{},)", attempts)));
+    start(with(engines_.config(address_), R"("try_limit":1,)", fmt::format(R"("try_limit":{},)", attempts)));
   }
   int calls(const std::string& call) {
     return engines_.engine(0).calls(call) + engines_.engine(1).calls(call);
@@ -36,9 +34,7 @@
   // The bus goes to another address, as a new configuration says; what it tells from then on comes from
   // there.
   void move_bus(const standin::Bus& to) {
-    std::string config = config_;
-    const std::string from = engines_.bus().address();
-    process_->rewrite(config.replace(config.find(from), from.size(), to.address()));
+    process_->rewrite(with(config_, engines_.bus().address(), to.address()));
     process_->signal(SIGHUP);
   }
 
@@ -113,9 +109,7 @@
 // A step during a wait that is interrupted, as by a stop and a continue: nothing else wakes the process,
 // since neither its engine nor the bus says anything.
 TEST_F(WallClock, AStepWithinAnInterruptedWaitDoesNotLengthenIt) {
-  std::string config = engines_.config(address_);
-  const std::string bus = engines_.bus().address();
-  start(config.replace(config.find(bus), bus.size(), standin::free_address()));
+  start(with(engines_.config(address_), engines_.bus().address(), standin::free_address()));
   StreamSocket client = connect();
   send(client, command(1, "insert 1 /*! silent */", 1500, "load"));
   ASSERT_TRUE(soon([&] { return engines_.runs("insert 1 /*! silent */") == 1; }));
