--- a/src/client/client.cpp
+++ b/src/client/client.cpp
@@ -23,6 +23,7 @@
 #include <thread>
 
 #include "client/plan.h"
+#include "index/monotonic_clock.h"
 #include "proto/jsonrpc/reply.h"
 
 namespace firvalve::client {
@@ -39,10 +40,7 @@
 constexpr size_t kLogsMost = 1000;         // lines waiting for the callbacks' thread; more are dropped
 constexpr double kDay = 86'400'000;        // ms
 
-Ms now() {
-  const auto since = std::chrono::steady_clock::now().time_since_epoch();
-  return std::chrono::duration<double, std::milli>(since).count() + 1;  // never 0, which is "none"
-}
+Ms now() { return steady_clock_ms() + 1; }  // never 0, which is "none"
 
 SocketAddress address_of(const std::string& text) {
   const size_t colon = text.rfind(':');
--- a/src/lab/scale/hollow_gateway.cpp
+++ b/src/lab/scale/hollow_gateway.cpp
@@ -16,6 +16,7 @@
 #include "config/operator.h"
 #include "core/articles.h"
 #include "fleet/fleet.h"
+#include "index/monotonic_clock.h"
 #include "lab/scale/parts.h"
 #include "net/bus.h"
 #include "net/engines.h"
@@ -88,11 +89,7 @@
 
 }  // namespace
 
-Ms hollow_clock() {
-  timespec time{};
-  ::clock_gettime(CLOCK_BOOTTIME, &time);
-  return static_cast<double>(time.tv_sec) * 1e3 + static_cast<double>(time.tv_nsec) / 1e6;
-}
+Ms hollow_clock() { return boot_clock_ms(); }
 
 struct HollowGateway::Running {
   explicit Running(const HollowGatewayOptions& options)
--- a/src/standin/crowd.cpp
+++ b/src/standin/crowd.cpp
@@ -11,6 +11,8 @@
 #include <sstream>
 #include <stdexcept>
 
+#include "index/monotonic_clock.h"
+
 namespace firvalve::standin {
 
 namespace {
@@ -131,11 +133,7 @@
   return all;
 }
 
-Ms Crowd::clock() {
-  timespec t{};
-  ::clock_gettime(CLOCK_BOOTTIME, &t);
-  return static_cast<double>(t.tv_sec) * 1000 + static_cast<double>(t.tv_nsec) / 1e6;
-}
+Ms Crowd::clock() { return boot_clock_ms(); }
 
 std::optional<size_t> Crowd::holder(const std::string& duty) const {
   std::optional<size_t> found;
