--- a/review/common/harness.h
+++ b/review/common/harness.h
@@ -348,9 +348,10 @@
 }
 // Params of a run-once job: the method `merge`.
 inline std::string job_params(const std::string& key, const std::string& profile,
-                              const std::string& statement, double timeout_ms, const std::string& req) {
+                              const std::string& statement, double timeout_ms, const std::string& req,
+                              const std::string& more = {}) {
   return command_params(statement, timeout_ms, req,
-                        ",\"name\":\"" + key + "\",\"profile\":\"" + profile + "\"");
+                        ",\"name\":\"" + key + "\",\"profile\":\"" + profile + "\"" + more);
 }
 
 // ---- Engines ------------------------------------------------------------------------------------
@@ -630,6 +631,7 @@
   int max_attempts = 6;
   std::string load_semantics = "at_most_once";  // or "deduplicated"
   double load_window_ms = 0;                    // of "deduplicated"
+  bool has_retry_budget = true;
   std::vector<std::string> engine_kinds = {"std-8"};
 };
 
@@ -663,8 +665,9 @@
         << ",\"retry_after\":true,\"max_retry_after\":" << ns(500)
         << "},\"rules\":{\"stop_sending_within\":" << ns(500)
         << ",\"cold_from\":0.32,\"warm_up\":" << ns(14000)
-        << ",\"overload_factor\":3,\"overload_for\":" << ns(2000)
-        << ",\"extra_free\":3,\"extra_ratio\":0.1,\"look_back\":" << ns(5000) << "},\"profiles\":["
+        << ",\"overload_factor\":3,\"overload_for\":" << ns(2000);
+    if (s.has_retry_budget) out << ",\"extra_free\":3,\"extra_ratio\":0.1,\"look_back\":" << ns(5000);
+    out << "},\"profiles\":["
         << "{\"name\":\"lookup\",\"semantics\":\"idempotent\",\"slo\":" << ns(800)
         << ",\"aim_stretch\":2,\"credit\":1,"
         << "\"late_share\":0.1,\"deadline\":" << ns(4000) << "},"
