Review: gateways end with a case that is stopped

Need: a case that is stopped by its time limit left the gateways that it had started. Change: the child processes get a parent-death signal.

--- a/review/common/harness.h
+++ b/review/common/harness.h
@@ -10,6 +10,7 @@
 #include <poll.h>
 #include <rapidjson/document.h>
 #include <signal.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -692,6 +693,7 @@
     const int log = ::open((base_ + ".log").c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
     pid_ = ::fork();
     if (pid_ == 0) {
+      ::prctl(PR_SET_PDEATHSIG, SIGKILL);  // also ends with a case that is stopped
       ::setenv("NODE_CONFIG", (base_ + ".json").c_str(), 1);
       ::setenv("NODE_NAME", ("n" + std::to_string(number_)).c_str(), 1);
       ::setenv("NODE_LISTEN", clients_.text().c_str(), 1);
