Review case 2: usual clients lose their requests at the memory limit

Cause: over the limit for buffers, connections with open calls are closed with no answer, the least recently active first, whatever they hold.

--- a/review/2/case.cpp
+++ b/review/2/case.cpp
@@ -1,74 +1,123 @@
-// A cluster of three gateways. Two timers request the nightly load under one idempotency key, one after the
-// other, at different gateways. The engine that runs it first answers with an error. The job must be started
-// at most once.
+// Usual clients have a request open and write a second one slowly. Meanwhile bad clients send a request and
+// half of another, and close. Each request of a usual client that the gateway has taken must get its final
+// answer.
 #include "harness.h"
 
 using namespace review;
 
 namespace {
 
-// As arequipa-colca has them for loads.
-constexpr double kWindowMs = 12000;
-constexpr double kClientTimeoutMs = 16000;  // 80 % of the profile's 20 s
-// A large load: 24 s of work on two threads.
-constexpr const char* kEstimate = ",\"ms\":24000";
-constexpr double kRunMs = 12000;
-constexpr double kErrorAfterMs = 5000;
-constexpr int kLeaseMs = 3000;
-constexpr const char* kStatement = "insert into sales_17.orders select * from staging.new";
+constexpr int kMemoryMb = 64;
+constexpr int kUsualClients = 20;
+constexpr int kBadClients = 200;
+constexpr size_t kEngines = 6;
+constexpr double kTimeoutMs = 4000;
+constexpr double kRunMs = 1500;
+constexpr size_t kLargeBodyBytes = 130000;  // the gateway reads bodies of up to 131,072 bytes
+constexpr size_t kSentOfLargeBody = 120000;
+constexpr double kPauseInRequestMs = 500;  // of a slow writer; a gateway waits 2 s for the rest of a message
+
+std::string message(const std::string& body) {
+  return "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+std::string request(int id, const std::string& req, const std::string& statement) {
+  return message("{\"jsonrpc\":\"2.0\",\"id\":" + std::to_string(id) + ",\"method\":\"lookup\",\"params\":" +
+                 command_params(statement, kTimeoutMs, req, ",\"ms\":1500") + "}");
+}
+
+// Half of a request with a large statement.
+std::string half_of_large_request() {
+  std::string begin = "{\"jsonrpc\":\"2.0\",\"id\":2,\"method\":\"lookup\",\"params\":{\"req\":\"" +
+                      new_req() + "\",\"timeout\":4000,\"bytes\":\"";
+  begin.append(kSentOfLargeBody - begin.size(), 'A');
+  return "Content-Length: " + std::to_string(kLargeBodyBytes) + "\r\n\r\n" + begin;
+}
+
+struct UsualClient {
+  int fd = -1;
+  std::string first_req;
+  std::string second;  // the whole message of the second request
+  std::string received;
+  double sent_at = 0;
+  bool is_closed = false;
+  bool has_answer() const { return received.find("\"id\":1,") != std::string::npos; }
+};
 
 }  // namespace
 
 int main(int argc, char** argv) {
   return run_case(argc, argv, [](const std::string& folder) {
-    std::atomic<int> queries{0};
-    const auto plan = [&](const Engine::Started&) {
+    const auto plan = [](const Engine::Started& query) {
       Plan out;
       out.run_ms = kRunMs;
-      out.rows = "orders\t17\tloaded\n";
-      if (has_trouble() && queries++ == 0) {
-        out.run_ms = kErrorAfterMs;
-        out.ends_with_error = true;
-      }
+      out.rows = "made for\t" + query.statement + "\tdone\n";
       return out;
     };
     std::vector<std::unique_ptr<Engine>> owned;
     std::vector<Engine*> engines;
-    for (int i = 0; i < 6; ++i) {
+    for (size_t i = 0; i < kEngines; ++i) {
       owned.push_back(std::make_unique<Engine>("s-0000000" + std::to_string(i + 1), plan));
       engines.push_back(owned.back().get());
     }
     Settings settings;
-    settings.gateways = 3;
-    settings.load_semantics = "deduplicated";
-    settings.load_window_ms = kWindowMs;
-    settings.has_retry_budget = false;
-    Cluster cluster(folder, settings, engines, kLeaseMs);
+    settings.memory_mb = kMemoryMb;
+    Gateway gateway(folder, 1, free_addresses(1)[0]);
+    gateway.configure(settings, start_event_bus(), engines);
+    gateway.start();
+    gateway.wait_until_ready();
 
-    const auto request = [&](size_t gateway) {
-      Client timer(cluster[gateway].clients());
-      record("a timer requests the load under night-1 at gateway %zu", gateway);
-      const Answer answer = timer.call(
-          "merge", job_params("night-1", "load", kStatement, kClientTimeoutMs, new_req(), kEstimate),
-          kClientTimeoutMs + 500);
-      record("the timer at gateway %zu gets: %s", gateway, answer.text().c_str());
-      return answer;
-    };
-    const Answer first = request(1);
-    sleep_ms(kWindowMs + 1000);  // no engine would drop a repeat any more
-    const Answer second = request(2);
+    std::vector<UsualClient> usual(kUsualClients);
+    for (UsualClient& client : usual) {
+      client.fd = connect_to(gateway.clients());
+      client.first_req = new_req();
+      client.sent_at = now_ms();
+      if (!write_all(client.fd, request(1, client.first_req, "select 1 from lodges_1.rooms")))
+        throw CannotRun("a usual client could not send its request");
+      record("usual client sends %s", client.first_req.c_str());
+    }
+    sleep_ms(200);  // all of them are read by now
+    for (UsualClient& client : usual) {
+      client.second = request(2, new_req(), "select 2 from lodges_1.rooms");
+      write_all(client.fd, client.second.substr(0, client.second.size() / 2));
+    }
+    record("each usual client has written half of its second request");
 
-    std::map<std::string, int> starts;  // by Call-Id: engines drop a repeat of the same request
-    for (const Engine* const engine : engines)
-      for (const Engine::Started& started : engine->started()) ++starts[started.id];
-    record("the job was started under %zu different requests", starts.size());
-    for (const auto& gateway : cluster.gateways)
-      for (const std::string& line : gateway->log_lines({"lease.run_once_job_started"}))
-        record("log of gateway %d: %s", gateway->number(), line.c_str());
-    if (starts.empty()) throw CannotRun("the job was never started");
-    if (!has_trouble() && (first.kind != Answer::Kind::kServed || second.kind != Answer::Kind::kServed))
-      throw CannotRun("the job was not answered");
-    if (starts.size() > 1) record("BROKEN: the run-once job was started %zu times", starts.size());
-    return starts.size() > 1 ? 1 : 0;
+    std::vector<int> bad;
+    if (has_trouble()) {
+      for (int i = 0; i < kBadClients; ++i) {
+        bad.push_back(connect_to(gateway.clients()));
+        if (bad.back() < 0) throw CannotRun("a bad client could not connect");
+        write_all(bad.back(), request(1, new_req(), "select 3 from lodges_1.rooms"));
+      }
+      for (const int fd : bad) write_all(fd, half_of_large_request());
+      record("%d bad clients have sent a request and half of another", kBadClients);
+    }
+    sleep_ms(kPauseInRequestMs);
+    for (UsualClient& client : usual) write_all(client.fd, client.second.substr(client.second.size() / 2));
+    record("each usual client has written the rest of its second request");
+    for (const int fd : bad) ::close(fd);
+    if (!bad.empty()) record("the bad clients have closed");
+
+    int served = 0, errors = 0, lost = 0;
+    for (UsualClient& client : usual) {
+      const double until = client.sent_at + kTimeoutMs + 500;
+      while (!client.has_answer() && !client.is_closed && now_ms() < until)
+        client.is_closed = !read_some(client.fd, client.received, until - now_ms());
+      const bool is_served = client.received.find("\"id\":1,\"result\"") != std::string::npos;
+      record("usual client %s: %s", client.first_req.c_str(),
+             is_served             ? "served"
+             : client.has_answer() ? "an error"
+             : client.is_closed    ? "the connection ended with no answer"
+                                   : "no answer in its time");
+      ++(is_served ? served : client.has_answer() ? errors : lost);
+      if (!client.has_answer())
+        record("BROKEN: %s was taken, and its connection ended with no answer", client.first_req.c_str());
+    }
+    record("usual clients %d: served %d, answered with an error %d, without an answer %d", kUsualClients,
+           served, errors, lost);
+    if (!gateway.is_alive()) record("the gateway has ended");
+    if (!has_trouble() && served == 0) throw CannotRun("nothing was served");
+    finish(lost > 0 ? 1 : 0);
   });
 }
--- a/review/common/harness.h
+++ b/review/common/harness.h
@@ -633,9 +633,14 @@
   std::string load_semantics = "at_most_once";  // or "deduplicated"
   double load_window_ms = 0;                    // of "deduplicated"
   bool has_retry_budget = true;
+  int memory_mb = 192;
   std::vector<std::string> engine_kinds = {"std-8"};
 };
 
+// The processes of gateways that run now.
+inline std::mutex processes_mutex;
+inline std::set<pid_t> processes;
+
 class Gateway {
  public:
   Gateway(std::string folder, int number, Address clients) : number_(number), clients_(std::move(clients)) {
@@ -649,7 +654,8 @@
     const auto ns = [](double ms) { return std::to_string(static_cast<long long>(ms * 1e6)); };
     out << "{\"name\":\"n" << number_ << "\",\"listen\":\"" << clients_.text()
         << "\",\"seed\":\"8c1f30d27a5be96" << number_
-        << "\",\"limits\":{\"cores\":1.0,\"memory_mb\":192,\"sockets\":1024},\"bus\":\"" << bus.text()
+        << "\",\"limits\":{\"cores\":1.0,\"memory_mb\":" << s.memory_mb << ",\"sockets\":1024},\"bus\":\""
+        << bus.text()
         << "\",\"known\":{\"offset\":1,\"batch\":[{\"offset\":1,\"topology\":{\"version\":1,\"full\":true,"
            "\"servers\":[";
     for (size_t i = 0; i < engines.size(); ++i)
@@ -703,6 +709,10 @@
       ::_exit(127);
     }
     ::close(log);
+    {
+      const std::lock_guard lock(processes_mutex);
+      processes.insert(pid_);
+    }
     record("gateway %d starts", number_);
   }
   void wait_until_ready() const {
@@ -731,7 +741,7 @@
   }
   // True if the process is still there.
   bool is_alive() {
-    if (pid_ > 0 && ::waitpid(pid_, nullptr, WNOHANG) == pid_) pid_ = 0;
+    if (pid_ > 0 && ::waitpid(pid_, nullptr, WNOHANG) == pid_) forget();
     return pid_ > 0;
   }
   std::string log() const {
@@ -760,6 +770,11 @@
     ::kill(pid_, SIGCONT);
     ::kill(pid_, SIGKILL);
     ::waitpid(pid_, nullptr, 0);
+    forget();
+  }
+  void forget() {
+    const std::lock_guard lock(processes_mutex);
+    processes.erase(pid_);
     pid_ = 0;
   }
   const int number_;
@@ -818,33 +833,49 @@
   return !trouble || std::string(trouble) != "0";
 }
 
-// Runs a case in a temporary folder of its own; returns the exit code: 0 the rule held, 1 it was broken, 2
-// the case could not run. argv[1]: the folder of the case, for record.txt.
-inline int run_case(int argc, char** argv, const std::function<int(const std::string&)>& body) {
+inline std::string case_folder;  // temporary
+
+// Ends the case and all processes that it started: 0 the rule held, 1 it was broken, 2 the case could not
+// run. Ends without destructors, since threads of the stand-ins still run.
+[[noreturn]] inline void finish(int result) {
+  record("%s", result == 0   ? "the rule held"
+               : result == 1 ? "the rule was broken"
+                             : "the case could not run");
+  {
+    const std::lock_guard lock(processes_mutex);
+    for (const pid_t process : processes) {
+      ::kill(process, SIGCONT);
+      ::kill(process, SIGKILL);
+      ::waitpid(process, nullptr, 0);
+    }
+  }
+  std::error_code ignored;
+  if (std::getenv("KEEP_LOGS") == nullptr)
+    std::filesystem::remove_all(case_folder, ignored);
+  else
+    std::fprintf(stderr, "logs in %s\n", case_folder.c_str());
+  ::_exit(result);
+}
+
+// Runs a case, whose body ends with finish(), in a temporary folder of its own. argv[1]: the folder of the
+// case, for record.txt.
+inline int run_case(int argc, char** argv, const std::function<void(const std::string&)>& body) {
   ::signal(SIGPIPE, SIG_IGN);
-  const std::string pattern = (std::filesystem::temp_directory_path() / "firvalve-review-XXXXXX").string();
-  std::vector<char> folder(pattern.begin(), pattern.end());
-  folder.push_back('\0');
-  int result = 2;
   try {
     if (argc < 2) throw CannotRun("usage: CASE FOLDER");
     open_record(std::string(argv[1]) + "/record.txt");
+    const std::string pattern = (std::filesystem::temp_directory_path() / "firvalve-review-XXXXXX").string();
+    std::vector<char> folder(pattern.begin(), pattern.end());
+    folder.push_back('\0');
     if (!::mkdtemp(folder.data())) throw CannotRun("no temporary folder");
+    case_folder = folder.data();
     record("TROUBLE=%d", has_trouble() ? 1 : 0);
-    result = body(folder.data());
-    record(result == 0 ? "the rule held" : result == 1 ? "the rule was broken" : "the case could not run");
+    body(case_folder);
   } catch (const std::exception& e) {
-    record("the case could not run: %s", e.what());
+    record("%s", e.what());
     std::fprintf(stderr, "the case could not run: %s\n", e.what());
   }
-  if (std::getenv("KEEP_LOGS") == nullptr) {
-    std::error_code ignored;
-    std::filesystem::remove_all(folder.data(), ignored);
-  } else {
-    std::fprintf(stderr, "logs in %s\n", folder.data());
-  }
-  std::fflush(record_file);
-  ::_exit(result);
+  finish(2);
 }
 
 }  // namespace review
