--- a/review/common/harness.h
+++ b/review/common/harness.h
@@ -634,7 +634,6 @@
   double load_window_ms = 0;                    // of "deduplicated"
   bool has_retry_budget = true;
   int memory_mb = 192;
-  std::vector<std::string> engine_kinds = {"std-8"};
 };
 
 // The processes of gateways that run now.
