Count calls whose connection is closed without an answer, by reason

The metrics cannot tell an eviction for buffer memory from one for a descriptor, and do not say whether calls were open. Change: close reason "memory limit" beside "evicted"; metric "calls closed without an answer: REASON"; evict() takes its reason.

--- a/src/cluster/inbound_peer.h
+++ b/src/cluster/inbound_peer.h
@@ -30,7 +30,7 @@
 
   // A connection whose peer is not identified yet may be closed if file descriptors run out.
   bool is_evictable() const override { return !id; }
-  void evict() override { disconnect(); }
+  void evict(EvictionReason) override { disconnect(); }
   void disconnect() {
     close();
     observer_.handle_closed(*this);
--- a/src/core/metrics.cpp
+++ b/src/core/metrics.cpp
@@ -4,10 +4,10 @@
 
 namespace firvalve {
 
-void Metrics::add(std::string_view name, std::string_view kind) {
+void Metrics::add(std::string_view name, std::string_view kind, uint64_t count) {
   std::string full_name(name);
   if (!kind.empty()) full_name.append(" ").append(kind);
-  ++counts[full_name];
+  counts[full_name] += count;
 }
 
 std::string Metrics::text() const {
--- a/src/core/metrics.h
+++ b/src/core/metrics.h
@@ -12,8 +12,8 @@
 // Not thread-safe: used only on the reactor's thread.
 struct Metrics {
   std::map<std::string, uint64_t, std::less<>> counts;
-  // Increments the counter `name`, or "`name` `kind`" if a kind is given.
-  void add(std::string_view name, std::string_view kind = {});
+  // Adds `count` to the counter `name`, or "`name` `kind`" if a kind is given.
+  void add(std::string_view name, std::string_view kind = {}, uint64_t count = 1);
   std::string text() const;  // all counters, sorted by name
 };
 
--- a/src/net/client_connection.cpp
+++ b/src/net/client_connection.cpp
@@ -21,9 +21,9 @@
   if (server_.result_store_) peer_address_ = socket.peerAddress().host().toString();
 }
 
-void ClientConnection::evict() {
+void ClientConnection::evict(EvictionReason reason) {
   server_.metrics_.add("client connections evicted");
-  close_with_reason(CloseReason::kEvicted);
+  close_with_reason(close_reason_of(reason));
 }
 
 void ClientConnection::cancel_open_calls() {
--- a/src/net/client_connection.h
+++ b/src/net/client_connection.h
@@ -23,7 +23,7 @@
   bool is_evictable() const override {
     return is_lingering() || (open_calls_.empty() && has_nothing_to_read());
   }
-  void evict() override;
+  void evict(EvictionReason reason) override;
 
   bool has_open_calls() const { return !open_calls_.empty(); }
   void add_call(int64_t id, CallId call) { open_calls_[id] = call; }
--- a/src/net/client_server.cpp
+++ b/src/net/client_server.cpp
@@ -82,6 +82,7 @@
   const auto at = connections_.find(&connection);
   if (at == connections_.end()) return;
   metrics_.add("client connections closed:", name_of(reason));
+  if (open_calls > 0) metrics_.add("calls closed without an answer:", name_of(reason), open_calls);
   if (observer_) observer_(loop_.now(), {reason, {}, open_calls});
   loop_.destroy_after_turn(std::move(at->second));
   connections_.erase(at);
--- a/src/net/close_reason.h
+++ b/src/net/close_reason.h
@@ -21,14 +21,17 @@
   kIdleTimeout,
   kAttemptEnded,     // the attempt that the connection carried has ended
   kEndpointRemoved,  // the engine is no longer listed, or its address has changed
-  kEvicted,          // closed to free a descriptor or buffer memory
-  kGracefulClose     // a lingering close has completed or timed out
+  kEvicted,          // closed to free a descriptor
+  kGracefulClose,    // a lingering close has completed or timed out
+  kMemoryLimit       // closed to free buffer memory
 };
 
 std::string_view name_of(CloseReason reason);
 
 // The close reason for an end that the socket reported.
 CloseReason close_reason_of(Connection::End end);
+// The close reason for an eviction.
+CloseReason close_reason_of(Connection::EvictionReason reason);
 
 struct ConnectionClosed {
   CloseReason reason = CloseReason::kClosedByPeer;
--- a/src/net/connection.h
+++ b/src/net/connection.h
@@ -16,6 +16,7 @@
 class Connection {
  public:
   enum class End { kClosed, kReset, kRefused };
+  enum class EvictionReason { kDescriptorLimit, kMemoryLimit };
 
   enum class Kind { kTcp, kClient, kLocal };
 
@@ -27,7 +28,7 @@
 
   bool is_from_client() const { return is_from_client_; }
   virtual bool is_evictable() const { return false; }  // nothing in progress depends on the connection
-  virtual void evict() {}                              // closes the connection to free its resources
+  virtual void evict(EvictionReason) {}                // closes the connection to free its resources
   size_t buffered_bytes() const { return buffered_bytes_; }
 
   void write(std::string_view bytes);  // buffers what the socket does not accept at once
--- a/src/net/engine_connection.h
+++ b/src/net/engine_connection.h
@@ -29,7 +29,7 @@
     // A response with status 0 is malformed or unsolicited.
     virtual void handle_response(EngineConnection& connection, const proto::HttpResponse& response) = 0;
     virtual void handle_connection_lost(EngineConnection& connection, CloseReason reason) = 0;
-    virtual void evict(EngineConnection& connection) = 0;
+    virtual void evict(EngineConnection& connection, CloseReason reason) = 0;
 
    protected:
     ~Owner() = default;
@@ -49,7 +49,7 @@
   TimePoint timeout_started_at;   // start of the connect, idle or response timeout
 
   bool is_evictable() const override { return task == Task::kIdle; }
-  void evict() override { owner_.evict(*this); }
+  void evict(EvictionReason reason) override { owner_.evict(*this, close_reason_of(reason)); }
 
  protected:
   void on_connected() override { owner_.handle_connection_established(*this, loop_.now()); }
--- a/src/net/engine_connections.h
+++ b/src/net/engine_connections.h
@@ -80,7 +80,9 @@
   }
   void handle_response(EngineConnection& connection, const proto::HttpResponse& response) override;
   void handle_connection_lost(EngineConnection& connection, CloseReason reason) override;
-  void evict(EngineConnection& connection) override { close_connection(connection, CloseReason::kEvicted); }
+  void evict(EngineConnection& connection, CloseReason reason) override {
+    close_connection(connection, reason);
+  }
 
   // Pools and connections (engine_connections.cpp).
   // Returns an idle or a new connection; null: none is available.
--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -50,7 +50,7 @@
   Connection* const evicted =
       find_least_recently_active({.only_clients = only_clients, .only_evictable = true});
   if (!evicted) return false;
-  evicted->evict();
+  evicted->evict(Connection::EvictionReason::kDescriptorLimit);
   return connections_.size() < limit;
 }
 
@@ -62,7 +62,7 @@
         find_least_recently_active({.only_clients = true, .only_buffering = true, .only_evictable = true});
     if (!evicted) evicted = find_least_recently_active({.only_clients = true, .only_buffering = true});
     if (!evicted) return;
-    evicted->evict();
+    evicted->evict(Connection::EvictionReason::kMemoryLimit);
   }
 }
 
