Tests: the gateway with a log in a file, and its raw client, as a fixture of their own

Change: moved from lifecycle_faults_test.cpp to logged_gateway_fixture.h; Client is RawClient, since the client library has a class of that name. No check changed.

--- a/tests/gateway/lifecycle_faults_test.cpp
+++ b/tests/gateway/lifecycle_faults_test.cpp
@@ -12,119 +12,32 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
-#include <cerrno>
 #include <chrono>
 #include <cstdio>
 #include <fstream>
 #include <memory>
-#include <sstream>
 #include <thread>
 #include <vector>
 
-#include "fakes/fake_deployment.h"
-#include "fakes/process.h"
-#include "gateway/request_text.h"
+#include "gateway/logged_gateway_fixture.h"
 #include "net/signals.h"
-#include "soon.h"
 
 namespace firvalve {
 namespace {
 
-using Poco::Net::SocketAddress;
-using Poco::Net::StreamSocket;
-
-class Client {
- public:
-  explicit Client(const std::string& address) {
-    for (int tries = 0;; ++tries) {
-      try {
-        socket_.connect(SocketAddress(address), Poco::Timespan(10, 0));
-        return;
-      } catch (const Poco::Exception&) {
-        if (tries == 1000) throw;
-        ::usleep(10000);
-      }
-    }
-  }
-  void send_bytes(const std::string& bytes) {
-    socket_.sendBytes(bytes.data(), static_cast<int>(bytes.size()));
-  }
-  void send(const std::string& body) {
-    send_bytes("Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
-  }
-  void half_close() { socket_.shutdownSend(); }
-  // Reads until the gateway closes the connection; sets `was_reset` if it was reset.
-  std::string read_until_close() {
-    std::string all;
-    socket_.setReceiveTimeout(Poco::Timespan(10, 0));
-    char bytes[4096];
-    for (;;) {
-      const ssize_t got = ::recv(socket_.impl()->sockfd(), bytes, sizeof bytes, 0);
-      if (got < 0) was_reset = errno == ECONNRESET;
-      if (got <= 0) return all;
-      all.append(bytes, static_cast<size_t>(got));
-    }
-  }
-  // Returns the next complete answer.
-  std::string read_answer() {
-    std::string all;
-    socket_.setReceiveTimeout(Poco::Timespan(20, 0));
-    char byte;
-    while (::recv(socket_.impl()->sockfd(), &byte, 1, 0) == 1) {
-      all += byte;
-      const size_t head = all.find("\r\n\r\n");
-      if (head == std::string::npos) continue;
-      if (all.size() == head + 4 + std::stoul(all.substr(all.find(": ") + 2))) return all;
-    }
-    return all;
-  }
-  bool was_reset = false;
-
- private:
-  StreamSocket socket_;
-};
-
-constexpr const char* kHeartbeat = R"({"jsonrpc":"2.0","id":9,"method":"heartbeat","params":{}})";
-
-class LifecycleFaults : public testing::Test {
- protected:
-  void start(const std::string& config) {
-    log_ = "lifecycle-faults-" + std::to_string(::getpid()) + "-" +
-           testing::UnitTest::GetInstance()->current_test_info()->name() + ".log";
-    std::remove(log_.c_str());
-    process_ = std::make_unique<fakes::Process>(FIRVALVE_PROGRAM, config, std::vector<std::string>{}, log_);
-  }
-  ~LifecycleFaults() override {
-    process_.reset();
-    std::remove(log_.c_str());
-  }
-  // Whether the program's log, including the metrics that it writes on SIGUSR1, soon contains `text`.
-  bool logs_soon(const std::string& text) {
-    return soon([&] {
-      process_->signal(SIGUSR1);
-      std::stringstream all;
-      all << std::ifstream(log_).rdbuf();
-      return contains(all.str(), text);
-    });
-  }
-
-  fakes::FakeDeployment deployment_{1};
-  fakes::FakeEngine& engine_ = deployment_.engine(0);
-  std::string address_ = fakes::free_address(), log_, outgoing_;
-  std::unique_ptr<fakes::Process> process_;
-};
+class LifecycleFaults : public LoggedGateway {};
 
 // A closed connection cannot be distinguished from a half-closed one. Either way the gateway answers at once
 // that the waiting command did not run, and does not send it later, when an engine becomes available.
 TEST_F(LifecycleFaults, WaitingCommandOfClosedClientIsNotSent) {
   start(replace_first(deployment_.config(address_), "SERVING", "DRAINING"));
-  Client closed(address_);
+  RawClient closed(address_);
   closed.send(command_request(1, "select 1", 20000, "report"));
   closed.half_close();
   // The error arrives at once, not after the timeout.
   EXPECT_TRUE(contains(closed.read_until_close(), R"("id":1,"error":{"code":-32001)"));
   deployment_.bus().announce(fakes::listing(deployment_.name_of(0), engine_.address(), "SERVING"));
-  Client open(address_);
+  RawClient open(address_);
   open.send(command_request(2, "select 2"));
   EXPECT_TRUE(contains(open.read_answer(), R"("result")"));
   EXPECT_EQ(engine_.runs("select 1"), 0);
@@ -134,7 +47,7 @@
 TEST_F(LifecycleFaults, RunningCommandOfClosedClientIsNotRetried) {
   start(replace_first(deployment_.config(address_), R"("try_limit":1)", R"("try_limit":5)"));
   const std::string statement = "select 1 /*! delay=300 status=500 */";
-  Client closed(address_);
+  RawClient closed(address_);
   closed.send(command_request(1, statement));
   ASSERT_TRUE(soon([&] { return engine_.runs(statement) == 1; }));
   closed.half_close();
@@ -189,7 +102,7 @@
 
 TEST_F(DelayedConnects, StartIsNotWrittenIfEngineDrainsDuringConnect) {
   start_with_delayed_engine();
-  Client client(address_);
+  RawClient client(address_);
   client.send(command_request(1, "select 1", 20000, "report"));
   ASSERT_TRUE(logs_soon("engine connections: 1"));
   deployment_.bus().announce(fakes::listing(deployment_.name_of(0), listener_.address(), "DRAINING"));
@@ -201,7 +114,7 @@
 
 TEST_F(DelayedConnects, StartIsNotWrittenIfClientClosesDuringConnect) {
   start_with_delayed_engine();
-  Client client(address_);
+  RawClient client(address_);
   client.send(command_request(1, "select 1", 20000, "report"));
   ASSERT_TRUE(logs_soon("engine connections: 1"));
   client.half_close();
@@ -214,7 +127,7 @@
 // Closing a socket with unread bytes resets the connection, which could lose an answer already written.
 TEST_F(LifecycleFaults, CloseWithUnreadBytesDoesNotReset) {
   start(deployment_.config(address_));
-  Client client(address_);
+  RawClient client(address_);
   client.send(command_request(1, "select 1 /*! silent */"));
   ASSERT_TRUE(soon([&] { return engine_.started() == 1; }));
   client.send_bytes("Length: 1\r\n\r\n" + std::string(100000, 'x'));
@@ -227,11 +140,11 @@
 // A connection that is not yet accepted at the exit, with its request unread, must still be answered.
 TEST_F(LifecycleFaults, RequestAtMomentOfExitIsAnswered) {
   start(deployment_.config(address_));
-  { Client first(address_); }  // waits until the program serves
+  { RawClient first(address_); }  // waits until the program serves
   process_->signal(SIGTERM);
   ASSERT_TRUE(logs_soon("gateway.shutdown_started"));
   process_->signal(SIGSTOP);
-  Client late(address_);
+  RawClient late(address_);
   late.send(command_request(1, "select 1"));
   ::usleep(800000);  // all time limits of the shutdown have passed when the program continues
   process_->signal(SIGCONT);
@@ -245,7 +158,7 @@
   for (const char* const deadline : {"4000000000", "20000000000", "20000000000"})
     config = replace_first(config, std::string(R"("deadline":)") + deadline, R"("deadline":1000000000)");
   start(config);
-  Client client(address_);
+  RawClient client(address_);
   for (int i = 0; i < 200000; ++i) outgoing_ += "Content-Length: 2\r\n\r\n{}";
   // The error answers fill the connection; the kernel's buffers bound what the client can send.
   std::thread sender([&] {
@@ -284,7 +197,7 @@
   std::ofstream(next) << config;
   ASSERT_EQ(std::rename(next.c_str(), path.c_str()), 0);
   ::close(pipe);
-  Client client(address_);
+  RawClient client(address_);
   client.send(kHeartbeat);
   EXPECT_TRUE(contains(client.read_answer(), "healthy"));
   process_->signal(SIGTERM);
@@ -322,7 +235,7 @@
   std::string config =
       replace_first(deployment_.config(address_), R"("conn_idle":15000000000)", R"("conn_idle":1900000000)");
   start(replace_first(config, R"("dial_timeout":250000000)", R"("dial_timeout":0)"));
-  Client client(address_);
+  RawClient client(address_);
   for (int id = 1; id <= 3; ++id) {
     client.send(command_request(id, "select 1"));
     EXPECT_TRUE(contains(client.read_answer(), R"("result")"));
@@ -335,13 +248,13 @@
 TEST_F(LifecycleFaults, ServesWithIdleClientsInAllDescriptorsAndNoBus) {
   const std::string bus = fakes::free_address();
   start(replace_first(deployment_.config(address_, 192, 64), deployment_.bus().address(), bus));
-  { Client first(address_); }  // waits until the program serves
+  { RawClient first(address_); }  // waits until the program serves
   std::vector<std::unique_ptr<StreamSocket>> idle;
   for (int i = 0; i < 200; ++i) {
     idle.push_back(std::make_unique<StreamSocket>());
     idle.back()->connectNB(SocketAddress(address_));
   }
-  Client health(address_);
+  RawClient health(address_);
   health.send(kHeartbeat);
   EXPECT_TRUE(contains(health.read_answer(), "healthy"));
   health.send(command_request(1, "select 1"));
--- /dev/null
+++ b/tests/gateway/logged_gateway_fixture.h
@@ -0,0 +1,115 @@
+// Fixture: runs the real program with its log in a file, and a client that sends raw bytes and notices how
+// its connection ends.
+#pragma once
+
+#include <Poco/Net/NetException.h>
+#include <Poco/Net/StreamSocket.h>
+#include <gtest/gtest.h>
+#include <signal.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <cerrno>
+#include <cstdio>
+#include <fstream>
+#include <memory>
+#include <sstream>
+#include <string>
+#include <vector>
+
+#include "fakes/fake_deployment.h"
+#include "fakes/process.h"
+#include "gateway/request_text.h"
+#include "soon.h"
+
+namespace firvalve {
+
+using Poco::Net::SocketAddress;
+using Poco::Net::StreamSocket;
+
+// A client that sends raw bytes and notices how its connection ends.
+class RawClient {
+ public:
+  explicit RawClient(const std::string& address) {
+    for (int tries = 0;; ++tries) {
+      try {
+        socket_.connect(SocketAddress(address), Poco::Timespan(10, 0));
+        return;
+      } catch (const Poco::Exception&) {
+        if (tries == 1000) throw;
+        ::usleep(10000);
+      }
+    }
+  }
+  void send_bytes(const std::string& bytes) {
+    socket_.sendBytes(bytes.data(), static_cast<int>(bytes.size()));
+  }
+  void send(const std::string& body) {
+    send_bytes("Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
+  }
+  void half_close() { socket_.shutdownSend(); }
+  // Reads until the gateway closes the connection; sets `was_reset` if it was reset.
+  std::string read_until_close() {
+    std::string all;
+    socket_.setReceiveTimeout(Poco::Timespan(10, 0));
+    char bytes[4096];
+    for (;;) {
+      const ssize_t got = ::recv(socket_.impl()->sockfd(), bytes, sizeof bytes, 0);
+      if (got < 0) was_reset = errno == ECONNRESET;
+      if (got <= 0) return all;
+      all.append(bytes, static_cast<size_t>(got));
+    }
+  }
+  // Returns the next complete answer.
+  std::string read_answer() {
+    std::string all;
+    socket_.setReceiveTimeout(Poco::Timespan(20, 0));
+    char byte;
+    while (::recv(socket_.impl()->sockfd(), &byte, 1, 0) == 1) {
+      all += byte;
+      const size_t head = all.find("\r\n\r\n");
+      if (head == std::string::npos) continue;
+      if (all.size() == head + 4 + std::stoul(all.substr(all.find(": ") + 2))) return all;
+    }
+    return all;
+  }
+  bool was_reset = false;
+
+ private:
+  StreamSocket socket_;
+};
+
+inline constexpr const char* kHeartbeat = R"({"jsonrpc":"2.0","id":9,"method":"heartbeat","params":{}})";
+
+class LoggedGateway : public testing::Test {
+ protected:
+  void start(const std::string& config) {
+    log_ = "gateway-" + std::to_string(::getpid()) + "-" +
+           testing::UnitTest::GetInstance()->current_test_info()->name() + ".log";
+    std::remove(log_.c_str());
+    process_ = std::make_unique<fakes::Process>(FIRVALVE_PROGRAM, config, std::vector<std::string>{}, log_);
+  }
+  ~LoggedGateway() override {
+    process_.reset();
+    std::remove(log_.c_str());
+  }
+  std::string log_text() const {
+    std::stringstream all;
+    all << std::ifstream(log_).rdbuf();
+    return all.str();
+  }
+  // Whether the program's log, including the metrics that it writes on SIGUSR1, soon contains `text`.
+  bool logs_soon(const std::string& text) {
+    return soon([&] {
+      process_->signal(SIGUSR1);
+      return contains(log_text(), text);
+    });
+  }
+
+  fakes::FakeDeployment deployment_{1};
+  fakes::FakeEngine& engine_ = deployment_.engine(0);
+  std::string address_ = fakes::free_address(), log_, outgoing_;
+  std::unique_ptr<fakes::Process> process_;
+};
+
+}  // namespace firvalve
