Memory limit: drop incomplete messages instead of closing clients with open calls

Cause: Loop::evict_over_memory_limit() closed the least recently active connections, whatever they held or were owed, and withdrew their open calls; usual clients, who had written before the bad ones, came first and freed next to nothing.

Change: buffer_reclaim.h chooses the largest incomplete message of a client over its fair share, then whoever holds most. The message is dropped, its rest skipped, and its request answered with an error under its id, so the connection and its open calls go on; without an id the connection is rejected and each open call answered. Read buffers used to less than a quarter shrink. Why it works: nobody is owed an answer to what has not arrived whole, and a client with little buffered is reached last.

Still closed with calls open: a client that leaves its answers unread and holds most.

--- a/src/net/client_connection.cpp
+++ b/src/net/client_connection.cpp
@@ -1,5 +1,7 @@
 #include "net/client_connection.h"
 
+#include <algorithm>
+
 #include "proto/statement.h"
 
 namespace firvalve::net {
@@ -21,8 +23,11 @@
   if (server_.result_store_) peer_address_ = socket.peerAddress().host().toString();
 }
 
+// For memory, a client that reads its answers still gets those to its open calls.
 void ClientConnection::evict(EvictionReason reason) {
   server_.metrics_.add("client connections evicted");
+  if (reason == EvictionReason::kMemoryLimit && !is_lingering() && unsent_bytes() == 0)
+    return reject_connection("out of memory");
   close_with_reason(close_reason_of(reason));
 }
 
@@ -80,7 +85,43 @@
     start_graceful_close();
 }
 
+// The rest of the message is skipped as it arrives, so that the framing stays intact and the calls that are
+// open on the connection go on. An answer needs the request's id.
+void ClientConnection::discard_incomplete_message() {
+  const std::optional<int64_t> id = proto::find_request_id(read_buffer_.text());
+  if (!id) return reject_connection("out of memory");
+  server_.metrics_.add("client messages skipped: memory limit");
+  skipped_message_ = {*id, frames_.abandon_message(read_buffer_)};
+  drop_input();
+}
+
+bool ClientConnection::skip_message() {
+  const size_t skipped = std::min(skipped_message_->missing_bytes, read_buffer_.text().size());
+  read_buffer_.consume(skipped);
+  skipped_message_->missing_bytes -= skipped;
+  if (skipped_message_->missing_bytes > 0) return false;
+  const int64_t id = skipped_message_->id;
+  skipped_message_.reset();
+  mark_message_received();
+  if (open_calls_.count(id)) {
+    reject_connection("number in use");
+    return false;
+  }
+  server_.metrics_.add("calls rejected: buffers full");
+  std::string out;
+  proto::append_error(out, id, true, proto::kRpcFailed, "failed");
+  write(out);
+  return is_open();
+}
+
+void ClientConnection::mark_message_received() {
+  partial_message_since_.reset();
+  has_sent_message_ = true;
+  last_active_at_ = loop_.now();
+}
+
 void ClientConnection::on_bytes() {
+  if (skipped_message_ && !skip_message()) return;
   std::span<char> message;
   for (;;) {
     // Guards the memory limit against a client that sends but does not read: its requests stay in the
@@ -88,17 +129,15 @@
     if (unsent_bytes() > kMaxUnsentBytes) return set_reading(false);
     const proto::ReadResult read = frames_.next(read_buffer_, message);
     if (read == proto::ReadResult::kIncomplete) return update_partial_message_since();
-    partial_message_since_.reset();
     if (read == proto::ReadResult::kMalformed) return reject_connection("broken framing");
-    has_sent_message_ = true;
-    last_active_at_ = loop_.now();
+    mark_message_received();
     handle_message(message);
     if (!is_open() || is_lingering()) return;
   }
 }
 
 void ClientConnection::update_partial_message_since() {
-  const bool is_partial = frames_.is_in_message() || !read_buffer_.text().empty();
+  const bool is_partial = skipped_message_ || frames_.is_in_message() || !read_buffer_.text().empty();
   if (!is_partial)
     partial_message_since_.reset();
   else if (!partial_message_since_)
--- a/src/net/client_connection.h
+++ b/src/net/client_connection.h
@@ -24,6 +24,10 @@
     return is_lingering() || (open_calls_.empty() && has_nothing_to_read());
   }
   void evict(EvictionReason reason) override;
+  bool has_incomplete_message() const override {
+    return !is_lingering() && frames_.missing_body_bytes(read_buffer_) > 0;
+  }
+  void discard_incomplete_message() override;
 
   bool has_open_calls() const { return !open_calls_.empty(); }
   void add_call(int64_t id, CallId call) { open_calls_[id] = call; }
@@ -42,11 +46,20 @@
   void on_end(End end) override;
 
  private:
+  // A request that the memory limit does not let the gateway keep. It is answered once it has arrived.
+  struct SkippedMessage {
+    int64_t id = 0;
+    size_t missing_bytes = 0;
+  };
+
   void cancel_open_calls();
   void close_with_reason(CloseReason reason);
   // Sends an error without an id, fails each open call and closes the connection gracefully.
   void reject_connection(const char* reason);
   void update_partial_message_since();
+  // Returns false if more of the skipped message is to come or the connection was rejected.
+  bool skip_message();
+  void mark_message_received();
 
   void handle_message(std::span<char> message);
   // Each handler appends an immediate reply, if there is one, to `out`.
@@ -69,6 +82,7 @@
 
   ClientServer& server_;
   proto::RpcFrames frames_;
+  std::optional<SkippedMessage> skipped_message_;
   std::string peer_address_;              // owner of results that have no key; empty without a result store
   std::map<int64_t, CallId> open_calls_;  // by the client's request id
   bool is_half_closed_by_peer_ = false;
--- a/src/net/connection.cpp
+++ b/src/net/connection.cpp
@@ -80,13 +80,16 @@
   if (!is_open_ || is_lingering_) return;
   is_lingering_ = true;
   loop_.mark_least_recently_active(entry_);
-  read_buffer_.consume(read_buffer_.text().size());
-  read_buffer_.release_if_empty();
-  update_buffered_bytes();
+  drop_input();
   set_interest(true, is_writing_);
   if (unsent_bytes() == 0) end_stream();
 }
 
+void Connection::drop_input() {
+  read_buffer_.clear();
+  update_buffered_bytes();
+}
+
 void Connection::end_stream() { ::shutdown(socket_.impl()->sockfd(), SHUT_WR); }
 
 // Reads once per turn, so that a peer that never stops sending does not starve other connections.
@@ -175,7 +178,7 @@
     loop_.mark_active(entry_);
     on_bytes();
     if (!is_open_) return;
-    read_buffer_.release_if_empty();
+    read_buffer_.release_unused();
     update_buffered_bytes();
   } else if (got == 0) {
     if (keeps_half_open()) return set_interest(false, is_writing_);
--- a/src/net/connection.h
+++ b/src/net/connection.h
@@ -30,6 +30,10 @@
   virtual bool is_evictable() const { return false; }  // nothing in progress depends on the connection
   virtual void evict(EvictionReason) {}                // closes the connection to free its resources
   size_t buffered_bytes() const { return buffered_bytes_; }
+  // The peer has sent a part of a message, which discard_incomplete_message() can drop. The connection and
+  // the calls that are open on it go on, unless the request could not be told from others.
+  virtual bool has_incomplete_message() const { return false; }
+  virtual void discard_incomplete_message() {}
 
   void write(std::string_view bytes);  // buffers what the socket does not accept at once
   size_t unsent_bytes() const { return output_.size() - output_sent_; }
@@ -56,6 +60,8 @@
   virtual void on_end(End end) = 0;
   virtual bool keeps_half_open() { return false; }  // keep the write side open after the peer's half-close
 
+  void drop_input();  // frees the read buffer
+
   Loop& loop_;
   proto::ReadBuffer read_buffer_;
 
--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 
+#include "net/buffer_reclaim.h"
 #include "net/connection.h"
 
 namespace firvalve::net {
@@ -32,12 +33,9 @@
   connections_.erase(entry);
 }
 
-Connection* Loop::find_least_recently_active(const EvictionFilter& filter) const {
+Connection* Loop::find_least_recently_active(bool only_clients) const {
   for (Connection* const connection : connections_)
-    if ((!filter.only_clients || connection->is_from_client()) &&
-        (!filter.only_buffering || connection->buffered_bytes() > 0) &&
-        (!filter.only_evictable || connection->is_evictable()))
-      return connection;
+    if ((!only_clients || connection->is_from_client()) && connection->is_evictable()) return connection;
   return nullptr;
 }
 
@@ -47,22 +45,37 @@
   const auto limit = static_cast<size_t>(max_descriptors_);
   if (connections_.size() < limit) return true;
   const bool only_clients = for_client && client_count_ * 3 >= max_descriptors_;
-  Connection* const evicted =
-      find_least_recently_active({.only_clients = only_clients, .only_evictable = true});
+  Connection* const evicted = find_least_recently_active(only_clients);
   if (!evicted) return false;
   evicted->evict(Connection::EvictionReason::kDescriptorLimit);
   return connections_.size() < limit;
 }
 
-// Guards the memory limit against clients that send part of a message and stop, or do not read their
-// responses: evicts the least recently active ones, those without a command in flight first.
-void Loop::evict_over_memory_limit() {
+Connection* Loop::find_first_to_reclaim() const {
+  const size_t fair_share = max_buffered_bytes_ / static_cast<size_t>(std::max(client_count_, 1));
+  Connection* first = nullptr;
+  ReclaimPriority first_priority;
+  for (Connection* const connection : connections_) {
+    if (!connection->is_from_client() || connection->buffered_bytes() == 0) continue;
+    const ReclaimPriority priority =
+        reclaim_priority({connection->buffered_bytes(), connection->has_incomplete_message()}, fair_share);
+    if (first && priority <= first_priority) continue;
+    first = connection;
+    first_priority = priority;
+  }
+  return first;
+}
+
+// Guards the memory limit against clients that send part of a message and stop, or do not read their answers:
+// their messages are dropped, or else their connections closed (buffer_reclaim.h).
+void Loop::enforce_memory_limit() {
   while (buffered_bytes_ > max_buffered_bytes_) {
-    Connection* evicted =
-        find_least_recently_active({.only_clients = true, .only_buffering = true, .only_evictable = true});
-    if (!evicted) evicted = find_least_recently_active({.only_clients = true, .only_buffering = true});
-    if (!evicted) return;
-    evicted->evict(Connection::EvictionReason::kMemoryLimit);
+    Connection* const connection = find_first_to_reclaim();
+    if (!connection) return;
+    if (connection->has_incomplete_message())
+      connection->discard_incomplete_message();
+    else
+      connection->evict(Connection::EvictionReason::kMemoryLimit);
   }
 }
 
@@ -79,7 +92,7 @@
 
 void Loop::end_turn() {
   is_turn_open_ = false;
-  evict_over_memory_limit();
+  enforce_memory_limit();
   const std::optional<TimePoint> due_at = on_turn ? on_turn(now()) : std::nullopt;
   is_turn_open_ = false;
   to_destroy_.clear();
--- a/src/net/loop.h
+++ b/src/net/loop.h
@@ -57,13 +57,10 @@
   void onTimeout() override { end_turn(); }
 
  private:
-  struct EvictionFilter {
-    bool only_clients = false, only_buffering = false, only_evictable = false;
-  };
-
   void end_turn();
-  void evict_over_memory_limit();
-  Connection* find_least_recently_active(const EvictionFilter& filter) const;
+  void enforce_memory_limit();
+  Connection* find_least_recently_active(bool only_clients) const;  // only evictable ones; null: none
+  Connection* find_first_to_reclaim() const;                        // null: no client holds buffers
 
   WakeTimer wake_timer_{*this};
   TimePoint now_;
--- a/src/proto/jsonrpc/rpc.cpp
+++ b/src/proto/jsonrpc/rpc.cpp
@@ -1,6 +1,8 @@
 #include "proto/jsonrpc/rpc.h"
 
 #include <fmt/format.h>
+#include <rapidjson/memorystream.h>
+#include <rapidjson/reader.h>
 #include <rapidjson/stringbuffer.h>
 #include <rapidjson/writer.h>
 
@@ -144,6 +146,48 @@
   return read_page_call(*params, call) || read_topic_call(*params, call) || read_command(*params, call);
 }
 
+// Receives the tokens of a JSON text until it has read the member "id" of the outermost object.
+class IdHandler : public rapidjson::BaseReaderHandler<rapidjson::UTF8<>, IdHandler> {
+ public:
+  explicit IdHandler(const rapidjson::MemoryStream& text) : text_(text) {}
+  std::optional<int64_t> id() const { return id_; }
+
+  bool Key(const char* name, rapidjson::SizeType length, bool) {
+    is_id_next_ = depth_ == 1 && std::string_view(name, length) == "id";
+    return true;
+  }
+  bool StartObject() { return enter(); }
+  bool EndObject(rapidjson::SizeType) { return leave(); }
+  bool StartArray() { return enter(); }
+  bool EndArray(rapidjson::SizeType) { return leave(); }
+  bool Int(int value) { return read_number(value); }
+  bool Uint(unsigned value) { return read_number(value); }
+  bool Int64(int64_t value) { return read_number(value); }
+  // Any other value: the search ends if it is the id's.
+  bool Default() { return !is_id_next_; }
+
+ private:
+  bool enter() {
+    ++depth_;
+    return Default();
+  }
+  bool leave() {
+    --depth_;
+    return true;
+  }
+  bool read_number(int64_t value) {
+    if (!is_id_next_) return true;
+    const bool is_whole = text_.Tell() < text_.size_;  // else further digits may follow
+    if (is_whole && value >= 1) id_ = value;
+    return false;
+  }
+
+  const rapidjson::MemoryStream& text_;
+  int depth_ = 0;
+  bool is_id_next_ = false;
+  std::optional<int64_t> id_;
+};
+
 void append_message(std::string& out, std::string_view body) {
   fmt::format_to(std::back_inserter(out), "Content-Length: {}\r\n\r\n", body.size());
   out += body;
@@ -199,6 +243,26 @@
   return ReadResult::kComplete;
 }
 
+size_t RpcFrames::missing_body_bytes(const ReadBuffer& in) const {
+  return in_body_ && in.text().size() < body_bytes_ ? body_bytes_ - in.text().size() : 0;
+}
+
+size_t RpcFrames::abandon_message(ReadBuffer& in) {
+  const size_t missing = missing_body_bytes(in);
+  in.clear();
+  in_body_ = false;
+  return missing;
+}
+
+std::optional<int64_t> find_request_id(std::string_view incomplete_body) {
+  const std::string_view prefix = incomplete_body.substr(0, kMaxIdPrefixBytes);
+  rapidjson::MemoryStream text(prefix.data(), prefix.size());
+  IdHandler handler(text);
+  rapidjson::Reader reader;
+  reader.Parse<rapidjson::kParseIterativeFlag>(text, handler);  // ends with an error where the text ends
+  return handler.id();
+}
+
 RpcCall read_call(std::span<char> body) {
   RpcCall call;
   rapidjson::Document message;
--- a/src/proto/jsonrpc/rpc.h
+++ b/src/proto/jsonrpc/rpc.h
@@ -31,6 +31,12 @@
   // The body is valid until the next in.prepare().
   ReadResult next(ReadBuffer& in, std::span<char>& body);
   bool is_in_message() const { return in_body_; }
+  // How many bytes of the current message's body have not been received yet; 0 if none or if its header is
+  // incomplete, too.
+  size_t missing_body_bytes(const ReadBuffer& in) const;
+  // Drops the incomplete message. Returns how many bytes of it have not been received yet: the caller must
+  // skip them before it calls next() again.
+  size_t abandon_message(ReadBuffer& in);
 
  private:
   ReadResult read_head(ReadBuffer& in);
@@ -75,6 +81,11 @@
 // Parses a message in place, which modifies it. The byte after the message must be writable.
 RpcCall read_call(std::span<char> body);
 
+// Searches the beginning of an incomplete request for its id. Empty: the id is not among the first
+// kMaxIdPrefixBytes bytes, or is not a valid one.
+constexpr size_t kMaxIdPrefixBytes = 4096;  // bounds the time of a search
+std::optional<int64_t> find_request_id(std::string_view incomplete_body);
+
 // Each function appends an answer as a complete message with its header.
 void append_result(std::string& out, int64_t id, std::string_view rows);
 void append_heartbeat_reply(std::string& out, int64_t id, bool is_healthy, bool reads_retry_markers = false);
--- a/src/proto/read_buffer.h
+++ b/src/proto/read_buffer.h
@@ -33,10 +33,25 @@
   size_t capacity() const { return bytes_.capacity(); }
   // Frees the memory if the buffer is empty, so that idle connections use little memory.
   void release_if_empty() {
-    if (begin_ == end_) {
-      std::vector<char>().swap(bytes_);
-      begin_ = end_ = 0;
-    }
+    if (begin_ == end_) clear();
+  }
+  // Frees all memory if the buffer is empty, and most of it if less than a quarter is in use: a connection
+  // whose peer has sent little uses little. Invalidates slices.
+  void release_unused() {
+    constexpr size_t kMinUsedParts = 4;
+    const std::string_view unread_text = text();
+    if (unread_text.empty()) return clear();
+    if (unread_text.size() * kMinUsedParts >= bytes_.capacity()) return;
+    std::vector<char> smaller(unread_text.size() + 1);  // with the byte for a terminating NUL
+    std::memcpy(smaller.data(), unread_text.data(), unread_text.size());
+    end_ = unread_text.size();
+    begin_ = 0;
+    bytes_.swap(smaller);
+  }
+  // Drops the unread bytes and frees the memory.
+  void clear() {
+    std::vector<char>().swap(bytes_);
+    begin_ = end_ = 0;
   }
 
  private:
--- a/tests/gateway/lifecycle_faults_test.cpp
+++ b/tests/gateway/lifecycle_faults_test.cpp
@@ -159,14 +159,8 @@
     config = replace_first(config, std::string(R"("deadline":)") + deadline, R"("deadline":1000000000)");
   start(config);
   RawClient client(address_);
-  for (int i = 0; i < 200000; ++i) outgoing_ += "Content-Length: 2\r\n\r\n{}";
   // The error answers fill the connection; the kernel's buffers bound what the client can send.
-  std::thread sender([&] {
-    try {
-      client.send_bytes(outgoing_);
-    } catch (const Poco::Exception&) {
-    }
-  });
+  std::thread sender = client.send_invalid_requests();
   ASSERT_TRUE(logs_soon("calls not understood"));
   const auto exit_started_at = std::chrono::steady_clock::now();
   process_->signal(SIGTERM);
--- a/tests/gateway/logged_gateway_fixture.h
+++ b/tests/gateway/logged_gateway_fixture.h
@@ -15,6 +15,7 @@
 #include <memory>
 #include <sstream>
 #include <string>
+#include <thread>
 #include <vector>
 
 #include "fakes/fake_deployment.h"
@@ -73,6 +74,31 @@
     }
     return all;
   }
+  // Reads until `text` has arrived; false: the connection has ended before, or nothing came in time.
+  bool reads_until(const std::string& text) {
+    socket_.setReceiveTimeout(Poco::Timespan(20, 0));
+    std::string tail;
+    char bytes[65536];
+    while (!contains(tail, text)) {
+      if (tail.size() > text.size()) tail.erase(0, tail.size() - text.size());
+      const ssize_t got = ::recv(socket_.impl()->sockfd(), bytes, sizeof bytes, 0);
+      if (got <= 0) return false;
+      tail.append(bytes, static_cast<size_t>(got));
+    }
+    return true;
+  }
+  // Sends many invalid requests, until the connection ends. Their answers fill the connection if they are not
+  // read.
+  std::thread send_invalid_requests() {
+    return std::thread([this] {
+      std::string requests;
+      for (int i = 0; i < 200000; ++i) requests += "Content-Length: 2\r\n\r\n{}";
+      try {
+        send_bytes(requests);
+      } catch (const Poco::Exception&) {
+      }
+    });
+  }
   bool was_reset = false;
 
  private:
@@ -108,7 +134,7 @@
 
   fakes::FakeDeployment deployment_{1};
   fakes::FakeEngine& engine_ = deployment_.engine(0);
-  std::string address_ = fakes::free_address(), log_, outgoing_;
+  std::string address_ = fakes::free_address(), log_;
   std::unique_ptr<fakes::Process> process_;
 };
 
--- a/tests/proto/proto_test.cpp
+++ b/tests/proto/proto_test.cpp
@@ -62,6 +62,70 @@
   }
 }
 
+// The rest of a dropped message is the caller's to skip; the next message is read as usual.
+TEST(RpcFrames, AbandonsIncompleteMessageAtAnyByte) {
+  const std::string message = framed(kBody);
+  for (size_t cut = message.size() - kBody.size(); cut < message.size(); ++cut) {
+    RpcFrames frames;
+    ReadBuffer in;
+    std::span<char> body;
+    in.append(message.substr(0, cut));
+    ASSERT_EQ(frames.next(in, body), ReadResult::kIncomplete);
+    EXPECT_EQ(frames.missing_body_bytes(in), message.size() - cut);
+    EXPECT_EQ(frames.abandon_message(in), message.size() - cut);
+    EXPECT_EQ(in.capacity(), 0u);
+    in.append(message.substr(cut) + framed("{}"));
+    in.consume(message.size() - cut);
+    ASSERT_EQ(frames.next(in, body), ReadResult::kComplete);
+    EXPECT_EQ(body.size(), 2u);
+    EXPECT_EQ(frames.missing_body_bytes(in), 0u);
+  }
+}
+
+TEST(RpcFrames, CompleteMessageMissesNothing) {
+  RpcFrames frames;
+  ReadBuffer in;
+  std::span<char> body;
+  in.append(framed(kBody).substr(0, 40));
+  ASSERT_EQ(frames.next(in, body), ReadResult::kIncomplete);
+  in.append(framed(kBody).substr(40));
+  EXPECT_EQ(frames.missing_body_bytes(in), 0u);
+}
+
+TEST(RpcCalls, FindsIdInBeginningOfRequest) {
+  const size_t id_end = kBody.find("7,") + 1;
+  for (size_t cut = 0; cut <= kBody.size(); ++cut)
+    // Before the byte behind it, the number may have further digits.
+    EXPECT_EQ(find_request_id(kBody.substr(0, cut)).value_or(0), cut > id_end ? 7 : 0) << cut;
+  EXPECT_EQ(find_request_id(R"({"params":{"id":3,"x":[{"id":4}]},"id":5,)"), 5);
+  const std::string long_params = R"({"params":")" + std::string(kMaxIdPrefixBytes, 'a') + R"(","id":5,)";
+  for (const std::string& text :
+       {std::string(R"({"id":"7","x":1})"), std::string(R"({"id":0,"x":1})"),
+        std::string(R"({"id":-7,"x":1})"), std::string(R"({"id":7.5,"x":1})"),
+        std::string(R"({"id":18446744073709551615,"x":1})"), std::string(R"({"id":{"id":7},"id":8,"x":1})"),
+        std::string(R"([{"id":7,"x":1}])"), std::string("x"), std::string(kMaxIdPrefixBytes, '['),
+        long_params})
+    EXPECT_EQ(find_request_id(text), std::nullopt) << text.substr(0, 40);
+}
+
+TEST(ReadBuffer, KeepsLittleMoreThanItsUnreadBytes) {
+  constexpr size_t kLargeBytes = 100000;
+  ReadBuffer in;
+  in.append(std::string(kLargeBytes, 'a') + "rest");
+  in.consume(kLargeBytes);
+  in.release_unused();
+  EXPECT_EQ(in.text(), "rest");
+  EXPECT_LT(in.capacity(), 100u);
+  in.append("more");
+  EXPECT_EQ(in.text(), "restmore");
+  const size_t capacity = in.capacity();
+  in.release_unused();  // mostly in use
+  EXPECT_EQ(in.capacity(), capacity);
+  in.consume(8);
+  in.release_unused();
+  EXPECT_EQ(in.capacity(), 0u);
+}
+
 TEST(RpcCalls, ReadsCommand) {
   const RpcCall call = read(kBody);
   ASSERT_EQ(call.kind, RpcCall::Kind::kCommand);
