Descriptor limit: a connection with unsent answers is not evicted

Cause: is_evictable() asked only for open calls and unread input, and a call is closed once its answer is in the gateway's own buffer. Change: unsent answers keep a connection from being evicted, also while it lingers; can_discard_message() is named for what it allows. Why it works: the answers are what the client is still owed; timeouts bound how long the descriptor is held.

--- a/src/net/client_connection.h
+++ b/src/net/client_connection.h
@@ -19,12 +19,14 @@
  public:
   ClientConnection(ClientServer& server, const Poco::Net::StreamSocket& socket);
 
-  // A connection with unread input is not evictable: closing it would send a TCP reset.
+  // Not while answers are unsent, which the close would cut off, nor with unread input: the close would send
+  // a TCP reset.
   bool is_evictable() const override {
+    if (unsent_bytes() > 0) return false;
     return is_lingering() || (open_calls_.empty() && has_nothing_to_read());
   }
   void evict(EvictionReason reason) override;
-  bool has_incomplete_message() const override {
+  bool can_discard_message() const override {
     return !is_lingering() && frames_.missing_body_bytes(read_buffer_) > 0;
   }
   void discard_incomplete_message() override;
--- a/src/net/connection.h
+++ b/src/net/connection.h
@@ -32,7 +32,7 @@
   size_t buffered_bytes() const { return buffered_bytes_; }
   // The peer has sent a part of a message, which discard_incomplete_message() can drop. The connection and
   // the calls that are open on it go on, unless the request could not be told from others.
-  virtual bool has_incomplete_message() const { return false; }
+  virtual bool can_discard_message() const { return false; }
   virtual void discard_incomplete_message() {}
 
   void write(std::string_view bytes);  // buffers what the socket does not accept at once
--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -58,7 +58,7 @@
   for (Connection* const connection : connections_) {
     if (!connection->is_from_client() || connection->buffered_bytes() == 0) continue;
     const ReclaimPriority priority =
-        reclaim_priority({connection->buffered_bytes(), connection->has_incomplete_message()}, fair_share);
+        reclaim_priority({connection->buffered_bytes(), connection->can_discard_message()}, fair_share);
     if (first && priority <= first_priority) continue;
     first = connection;
     first_priority = priority;
@@ -72,7 +72,7 @@
   while (buffered_bytes_ > max_buffered_bytes_) {
     Connection* const connection = find_first_to_reclaim();
     if (!connection) return;
-    if (connection->has_incomplete_message())
+    if (connection->can_discard_message())
       connection->discard_incomplete_message();
     else
       connection->evict(Connection::EvictionReason::kMemoryLimit);
--- a/tests/gateway/logged_gateway_fixture.h
+++ b/tests/gateway/logged_gateway_fixture.h
@@ -5,6 +5,7 @@
 #include <Poco/Net/NetException.h>
 #include <Poco/Net/StreamSocket.h>
 #include <gtest/gtest.h>
+#include <netinet/tcp.h>
 #include <signal.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -31,9 +32,17 @@
 // A client that sends raw bytes and notices how its connection ends.
 class RawClient {
  public:
-  explicit RawClient(const std::string& address) {
+  // kSmall: of an answer the kernel takes little more than 100 kB that this client has not read.
+  enum class KernelBuffers { kDefault, kSmall };
+
+  explicit RawClient(const std::string& address, KernelBuffers buffers = KernelBuffers::kDefault) {
     for (int tries = 0;; ++tries) {
       try {
+        socket_ = StreamSocket(SocketAddress::IPv4);
+        if (buffers == KernelBuffers::kSmall) {
+          socket_.setReceiveBufferSize(4096);
+          socket_.setOption(IPPROTO_TCP, TCP_MAXSEG, 536);  // also keeps the gateway's send buffer small
+        }
         socket_.connect(SocketAddress(address), Poco::Timespan(10, 0));
         return;
       } catch (const Poco::Exception&) {
@@ -48,6 +57,10 @@
   void send(const std::string& body) {
     send_bytes("Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
   }
+  std::string exchange(const std::string& body) {
+    send(body);
+    return read_answer();
+  }
   void half_close() { socket_.shutdownSend(); }
   // Reads until the gateway closes the connection; sets `was_reset` if it was reset.
   std::string read_until_close() {
