Descriptor limit: connections in the middle of a message are evicted last

Cause: reserve_descriptor() took the connection inactive for longest without open calls, and a half-written request does not count as a call. Change: find_first_to_evict() prefers connections at rest. Why it works: nobody is owed anything on these; only where none is left does the order of inactivity decide among the others.

--- a/src/net/connection.h
+++ b/src/net/connection.h
@@ -29,6 +29,8 @@
   bool is_from_client() const { return is_from_client_; }
   virtual bool is_evictable() const { return false; }  // nothing in progress depends on the connection
   virtual void evict(EvictionReason) {}                // closes the connection to free its resources
+  // The peer is in the middle of a message. Such a connection is evicted after those at rest.
+  virtual bool is_receiving_message() const { return false; }
   size_t buffered_bytes() const { return buffered_bytes_; }
   // The peer has sent a part of a message, which discard_incomplete_message() can drop. The connection and
   // the calls that are open on it go on, unless the request could not be told from others.
--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -33,10 +33,17 @@
   connections_.erase(entry);
 }
 
-Connection* Loop::find_least_recently_active(bool only_clients) const {
-  for (Connection* const connection : connections_)
-    if ((!only_clients || connection->is_from_client()) && connection->is_evictable()) return connection;
-  return nullptr;
+Connection* Loop::find_first_to_evict(bool only_clients) const {
+  Connection* in_message = nullptr;
+  for (Connection* const connection : connections_) {
+    if (only_clients && !connection->is_from_client()) continue;
+    const bool is_in_message = connection->is_receiving_message();
+    if (is_in_message && in_message) continue;
+    if (!connection->is_evictable()) continue;
+    if (!is_in_message) return connection;
+    in_message = connection;
+  }
+  return in_message;
 }
 
 // Guards against peers that keep connections open without using them, or open hundreds at once: without a
@@ -45,7 +52,7 @@
   const auto limit = static_cast<size_t>(max_descriptors_);
   if (connections_.size() < limit) return true;
   const bool only_clients = for_client && client_count_ * 3 >= max_descriptors_;
-  Connection* const evicted = find_least_recently_active(only_clients);
+  Connection* const evicted = find_first_to_evict(only_clients);
   if (!evicted) return false;
   evicted->evict(Connection::EvictionReason::kDescriptorLimit);
   return connections_.size() < limit;
--- a/src/net/loop.h
+++ b/src/net/loop.h
@@ -36,8 +36,8 @@
   void set_limits(int max_descriptors, size_t max_buffered_bytes);
 
   // Returns true if a descriptor is available for one more connection. If none is left, evicts the least
-  // recently active evictable connection. While clients hold a third of the descriptors or more, a new client
-  // connection can evict only client connections.
+  // recently active evictable connection, those in the middle of a message last. While clients hold a third
+  // of the descriptors or more, a new client connection can evict only client connections.
   bool reserve_descriptor(bool for_client);
 
   // Called by Connection only: its entry in the list of open connections, and its buffered bytes.
@@ -59,8 +59,8 @@
  private:
   void end_turn();
   void enforce_memory_limit();
-  Connection* find_least_recently_active(bool only_clients) const;  // only evictable ones; null: none
-  Connection* find_first_to_reclaim() const;                        // null: no client holds buffers
+  Connection* find_first_to_evict(bool only_clients) const;  // null: none is evictable
+  Connection* find_first_to_reclaim() const;                 // null: no client holds buffers
 
   WakeTimer wake_timer_{*this};
   TimePoint now_;
--- a/tests/gateway/descriptor_limit_test.cpp
+++ b/tests/gateway/descriptor_limit_test.cpp
@@ -30,6 +30,18 @@
   std::vector<std::unique_ptr<StreamSocket>> idle_;
 };
 
+// Guards against a request that is lost while its client writes it: idle connections are evicted before it.
+TEST_F(DescriptorLimit, SlowlyWrittenRequestOutlivesIdleConnections) {
+  RawClient writer(address_);
+  const std::string body = command_request(1, "select 1");
+  const std::string request = "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+  writer.send_bytes(request.substr(0, 100));
+  connect_idle_clients();
+  writer.send_bytes(request.substr(100));
+  const std::string answer = writer.read_answer();
+  EXPECT_TRUE(contains(answer, R"("result")")) << answer;
+}
+
 // Guards against answers that are cut off because no call is open any more: the connection is not idle until
 // they have been sent.
 TEST_F(DescriptorLimit, UnreadAnswersOutliveIdleConnections) {
