Memory limit: an unidentified peer that holds most is closed before clients

Cause: at the limit on buffered bytes only clients were considered. Change: find_first_to_reclaim() considers evictable connections of any kind. Why it works: who holds most is closed first, and nothing in progress depends on such a connection.

--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -63,7 +63,8 @@
   Connection* first = nullptr;
   ReclaimPriority first_priority;
   for (Connection* const connection : connections_) {
-    if (!connection->is_from_client() || connection->buffered_bytes() == 0) continue;
+    if (connection->buffered_bytes() == 0) continue;
+    if (!connection->is_from_client() && !connection->is_evictable()) continue;
     const ReclaimPriority priority =
         reclaim_priority({connection->buffered_bytes(), connection->can_discard_message()}, fair_share);
     if (first && priority <= first_priority) continue;
@@ -74,7 +75,8 @@
 }
 
 // Guards the memory limit against clients that send part of a message and stop, or do not read their answers:
-// their messages are dropped, or else their connections closed (buffer_reclaim.h).
+// their messages are dropped, or else their connections closed (buffer_reclaim.h). So are connections of
+// peers that have not identified themselves.
 void Loop::enforce_memory_limit() {
   while (buffered_bytes_ > max_buffered_bytes_) {
     Connection* const connection = find_first_to_reclaim();
--- a/src/net/loop.h
+++ b/src/net/loop.h
@@ -60,7 +60,7 @@
   void end_turn();
   void enforce_memory_limit();
   Connection* find_first_to_evict(bool only_clients) const;  // null: none is evictable
-  Connection* find_first_to_reclaim() const;                 // null: no client holds buffers
+  Connection* find_first_to_reclaim() const;                 // null: nothing can be reclaimed
 
   WakeTimer wake_timer_{*this};
   TimePoint now_;
