--- a/tests/compatibility/stored_data_test.cpp
+++ b/tests/compatibility/stored_data_test.cpp
@@ -22,6 +22,7 @@
 #include "fakes/fake_deployment.h"
 #include "fakes/fault_script.h"
 #include "fakes/process.h"
+#include "framed.h"
 #include "lease/lease_record.h"
 #include "lease/run_once_jobs.h"
 #include "loadtest/capacity_file.h"
@@ -500,10 +501,6 @@
 
 // ---- Frames between gateways ---------------------------------------------------------------------
 
-std::string framed(const std::string& body) {
-  return "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
-}
-
 // What the frames were said to be by their place in the exchange, by their files' names.
 const std::map<std::string, consensus::MessageType> kSays = {
     {"prepare", consensus::MessageType::kPrepare},
--- a/tests/gateway/descriptor_limit_test.cpp
+++ b/tests/gateway/descriptor_limit_test.cpp
@@ -33,8 +33,7 @@
 // Guards against a request that is lost while its client writes it: idle connections are evicted before it.
 TEST_F(DescriptorLimit, SlowlyWrittenRequestOutlivesIdleConnections) {
   RawClient writer(address_);
-  const std::string body = command_request(1, "select 1");
-  const std::string request = "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+  const std::string request = framed(command_request(1, "select 1"));
   writer.send_bytes(request.substr(0, 100));
   connect_idle_clients();
   writer.send_bytes(request.substr(100));
--- a/tests/gateway/gateway_fixture.h
+++ b/tests/gateway/gateway_fixture.h
@@ -13,6 +13,7 @@
 
 #include "fakes/fake_deployment.h"
 #include "fakes/process.h"
+#include "framed.h"
 #include "gateway/request_text.h"
 
 namespace firvalve {
@@ -23,7 +24,7 @@
 inline const Poco::Timespan kConnectTimeout(10, 0);  // generous: a connect takes milliseconds
 
 inline void send_message(StreamSocket& peer, const std::string& body) {
-  const std::string message = "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+  const std::string message = framed(body);
   peer.sendBytes(message.data(), static_cast<int>(message.size()));
 }
 
--- a/tests/gateway/logged_gateway_fixture.h
+++ b/tests/gateway/logged_gateway_fixture.h
@@ -21,6 +21,7 @@
 
 #include "fakes/fake_deployment.h"
 #include "fakes/process.h"
+#include "framed.h"
 #include "gateway/request_text.h"
 #include "soon.h"
 
@@ -54,9 +55,7 @@
   void send_bytes(const std::string& bytes) {
     socket_.sendBytes(bytes.data(), static_cast<int>(bytes.size()));
   }
-  void send(const std::string& body) {
-    send_bytes("Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
-  }
+  void send(const std::string& body) { send_bytes(framed(body)); }
   std::string exchange(const std::string& body) {
     send(body);
     return read_answer();
--- a/tests/gateway/memory_limit_test.cpp
+++ b/tests/gateway/memory_limit_test.cpp
@@ -19,16 +19,12 @@
 constexpr size_t kUnfinishedBytes = 10000;
 constexpr const char* kSlowStatement = "select 1 /*! delay=1000 */";
 
-std::string message(const std::string& body) {
-  return "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
-}
-
 std::string id_text(int id) { return R"("id":)" + std::to_string(id) + ","; }
 
 // A client that sends one request whole and most of a second one; finish() sends the rest.
 struct TwoRequestClient {
   TwoRequestClient(const std::string& address, int id, const std::string& second_request, size_t unfinished)
-      : client(address), first_id(id), second_message(message(second_request)), unfinished_bytes(unfinished) {
+      : client(address), first_id(id), second_message(framed(second_request)), unfinished_bytes(unfinished) {
     client.send(command_request(id, kSlowStatement));
     client.send_bytes(second_message.substr(0, second_message.size() - unfinished_bytes));
   }
--- a/tests/proto/proto_test.cpp
+++ b/tests/proto/proto_test.cpp
@@ -1,6 +1,7 @@
 // Tests of the protocol parsers and serializers: JSON-RPC, HTTP, event bus, SQL table groups.
 #include <gtest/gtest.h>
 
+#include "framed.h"
 #include "proto/base64.h"
 #include "proto/bus/bus.h"
 #include "proto/jsonrpc/reply.h"
@@ -16,10 +17,6 @@
     R"({"jsonrpc":"2.0","id":7,"method":"report","params":{"req":"9b1f03aa5c7e2d41","timeout":1500,"ms":820.0,)"
     R"("mem":96,"bytes":"c2VsZWN0IDE="}})";
 
-std::string framed(const std::string& body) {
-  return "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
-}
-
 RpcCall read(std::string body) {
   body += 'x';  // the next byte in the buffer
   RpcCall call = read_call({body.data(), body.size() - 1});
