--- a/src/net/client_connection.h
+++ b/src/net/client_connection.h
@@ -26,7 +26,7 @@
     return is_lingering() || (open_calls_.empty() && has_nothing_to_read());
   }
   void evict(EvictionReason reason) override;
-  bool is_receiving_message() const override { return partial_message_since_.has_value(); }
+  bool is_receiving_message() const override { return !is_lingering() && partial_message_since_; }
   bool can_discard_message() const override {
     return !is_lingering() && frames_.missing_body_bytes(read_buffer_) > 0;
   }
