Tests of the memory limit: enough engines, and smaller sizes, so that slow builds reach the limit alone

Trace: the second requests were answered "shed", "commands ended unserved: deadline too close: 34": one engine for 85 commands of 1 s, not the memory limit. Change: six engines, 4 MB and 20 bad clients; three unread answers in place of eight, as reading them took up to 5 s, when an idle connection is closed.

--- a/tests/gateway/descriptor_limit_test.cpp
+++ b/tests/gateway/descriptor_limit_test.cpp
@@ -44,7 +44,7 @@
 // Guards against answers that are cut off because no call is open any more: the connection is not idle until
 // they have been sent.
 TEST_F(DescriptorLimit, UnreadAnswersOutliveIdleConnections) {
-  constexpr int kRequests = 8;
+  constexpr int kRequests = 3;
   RawClient reader(address_, RawClient::KernelBuffers::kSmall);
   for (int id = 1; id <= kRequests; ++id)
     reader.send(
--- a/tests/gateway/logged_gateway_fixture.h
+++ b/tests/gateway/logged_gateway_fixture.h
@@ -121,6 +121,7 @@
 
 class LoggedGateway : public testing::Test {
  protected:
+  explicit LoggedGateway(int engines = 1) : deployment_(engines) {}
   void start(const std::string& config) {
     log_ = "gateway-" + std::to_string(::getpid()) + "-" +
            testing::UnitTest::GetInstance()->current_test_info()->name() + ".log";
@@ -144,7 +145,7 @@
     });
   }
 
-  fakes::FakeDeployment deployment_{1};
+  fakes::FakeDeployment deployment_;
   fakes::FakeEngine& engine_ = deployment_.engine(0);
   std::string address_ = fakes::free_address(), log_;
   std::unique_ptr<fakes::Process> process_;
--- a/tests/gateway/memory_limit_test.cpp
+++ b/tests/gateway/memory_limit_test.cpp
@@ -13,8 +13,8 @@
 namespace firvalve {
 namespace {
 
-constexpr int kMemoryMb = 16;  // of which the buffers may take 40 %
-constexpr int kBadClients = 80, kUsualClients = 5;
+constexpr int kMemoryMb = 4;  // of which the buffers may take 40 %
+constexpr int kBadClients = 20, kUsualClients = 5;
 constexpr size_t kLargeStatementBytes = 95000;  // 126 kB as a message
 constexpr size_t kUnfinishedBytes = 10000;
 constexpr const char* kSlowStatement = "select 1 /*! delay=1000 */";
@@ -38,6 +38,8 @@
 
 class MemoryLimit : public LoggedGateway {
  protected:
+  // Enough engines for all commands at once, so that none is shed for lack of capacity.
+  MemoryLimit() : LoggedGateway(6) {}
   void SetUp() override { start(deployment_.config(address_, kMemoryMb)); }
   // Clients that each hold a large message without its end.
   void fill_buffers() {
@@ -63,7 +65,7 @@
   for (int i = 0; i < kUsualClients; ++i, next_id_ += 2)
     usual.push_back(std::make_unique<TwoRequestClient>(address_, next_id_,
                                                        command_request(next_id_ + 1, "select 2"), 50));
-  ASSERT_TRUE(soon([&] { return engine_.started() == kUsualClients; }));
+  ASSERT_TRUE(soon([&] { return deployment_.started() == kUsualClients; }));
   fill_buffers();
   for (const auto& client : usual) client->finish();
   for (const auto& client : usual)
