Log and metrics of the process's memory, since a kill for memory leaves no other trace

Change: the warning gateway.memory_high when the peak first exceeds 50, 75 and 90 % of memory_mb, with the buffered bytes, the pending commands and the connections; gauges of the same in gateway.metrics. One reader of /proc/PID/status (base/process_memory.h) in place of three.

--- a/src/core/core.h
+++ b/src/core/core.h
@@ -100,6 +100,8 @@
   std::optional<TimePoint> next_due() const;  // when decide() must be called at the latest
   // Pending commands, including answered ones that still have an attempt in flight.
   size_t active_command_count() const { return commands_.command_count(); }
+  // Memory of the pending commands with their statements.
+  size_t pending_command_bytes() const { return commands_.bytes(); }
   size_t unanswered_call_count() const { return commands_.call_count(); }
 
  private:
--- a/src/core/pending_commands.h
+++ b/src/core/pending_commands.h
@@ -97,6 +97,7 @@
     for (auto& [id, command] : commands_) visit(command);
   }
   size_t command_count() const { return commands_.size() - released_.size(); }
+  size_t bytes() const { return statement_bytes_; }
   size_t call_count() const { return calls_.size(); }
 
  private:
--- a/src/gateway/event_log.cpp
+++ b/src/gateway/event_log.cpp
@@ -49,6 +49,18 @@
         {{"component", "gateway"}, {"by_ms", fmt::format("{:.0f}", to_ms(step))}});
 }
 
+void EventLog::log_memory_high(const MemoryUse& use) {
+  write(Level::kWarning, "gateway.memory_high",
+        {{"component", "gateway"},
+         {"resident_kb", std::to_string(use.resident_kb)},
+         {"peak_kb", std::to_string(use.peak_kb)},
+         {"limit_kb", std::to_string(use.limit_kb)},
+         {"buffered_kb", std::to_string(use.buffered_kb)},
+         {"commands_kb", std::to_string(use.commands_kb)},
+         {"commands", std::to_string(use.commands)},
+         {"connections", std::to_string(use.connections)}});
+}
+
 void EventLog::log_engine_health_change(const EngineHealthChange& change) {
   const bool is_ejected = change.health != EngineHealth::kReinstated;
   write(Level::kWarning, is_ejected ? "engine.ejected" : "engine.reinstated",
--- a/src/gateway/event_log.h
+++ b/src/gateway/event_log.h
@@ -17,6 +17,14 @@
 // Applies the line format and the level of the operator's file.
 void configure_log(log::Log& log, const config::OperatorConfig::Log& options);
 
+// Memory of this process, and what it is used for.
+struct MemoryUse {
+  size_t resident_kb = 0, peak_kb = 0, limit_kb = 0;
+  size_t buffered_kb = 0;  // buffers of all connections
+  size_t commands_kb = 0;  // pending commands with their statements
+  size_t commands = 0, connections = 0;
+};
+
 // Not thread-safe: used on the loop's thread only.
 class EventLog {
  public:
@@ -31,6 +39,7 @@
   void log_config_rejected(std::string_view reason);  // the previous configuration stays in force
   void log_metrics(const Metrics& metrics);
   void log_wall_clock_step(Duration step);
+  void log_memory_high(const MemoryUse& use);
   void log_engine_health_change(const EngineHealthChange& change);
   void log_damaged_segments(const results::SegmentFiles& files);
   void log_endpoint_change(const net::EndpointChange& change);
--- a/src/gateway/serve.cpp
+++ b/src/gateway/serve.cpp
@@ -10,6 +10,7 @@
 #include "core/settings.h"
 #include "gateway/event_log.h"
 #include "gateway/gateway_config.h"
+#include "gateway/memory_monitor.h"
 #include "gateway/reload.h"
 #include "gateway/result_store_wiring.h"
 #include "gateway/shutdown.h"
@@ -57,6 +58,7 @@
 // The components that run due work at the end of each turn of the loop.
 struct TurnComponents {
   WallClockMonitor& wall_clock_monitor;
+  MemoryMonitor& memory_monitor;
   net::EndpointWatcher& endpoint_watcher;
   log::Log& log;
   net::EngineConnections& engines;
@@ -69,6 +71,7 @@
 // The core comes last: it makes its decisions after the other components have reported what has completed.
 void run_due_work(const TurnComponents& components, TimePoint now) {
   components.wall_clock_monitor.check(now);
+  components.memory_monitor.check(now);
   components.endpoint_watcher.run_due(now);
   components.log.write_suppressed(now);
   components.engines.run_due(now);
@@ -157,6 +160,8 @@
 
   clients.listen(config.listen_address, core);
 
+  MemoryMonitor memory_monitor(event_log, metrics, {loop, core}, memory_bytes);
+
   // Signals.
   Shutdown shutdown({core, clients, event_log, cluster.get(), result_store},
                     longest_client_timeout(settings).value_or(Duration::zero()));
@@ -165,6 +170,7 @@
     switch (signal_number) {
       case SIGUSR1:
         if (cluster) cluster->log_status();
+        memory_monitor.update_metrics();
         return event_log.log_metrics(metrics);
       case SIGHUP:
         return reloader.reload();
@@ -175,8 +181,8 @@
   event_log.log_serving(config.listen_address);
 
   WallClockMonitor wall_clock_monitor(event_log, metrics);
-  const TurnComponents components{wall_clock_monitor, endpoint_watcher, log,           engines,
-                                  result_store,       clients,          cluster.get(), core};
+  const TurnComponents components{wall_clock_monitor, memory_monitor, endpoint_watcher, log, engines,
+                                  result_store,       clients,        cluster.get(),    core};
   loop.on_turn = [&](TimePoint now) -> std::optional<TimePoint> {
     run_due_work(components, now);
     if (!shutdown.is_started()) return next_due(components, now);
@@ -184,6 +190,7 @@
     return now + kShutdownCheckInterval;
   };
   loop.run();
+  memory_monitor.update_metrics();
   event_log.log_metrics(metrics);
   return 0;
 }
--- a/src/loadtest/process_usage.cpp
+++ b/src/loadtest/process_usage.cpp
@@ -14,12 +14,13 @@
 #include <string_view>
 #include <unordered_set>
 
+#include "base/process_memory.h"
 #include "loadtest/parts.h"
 
 namespace firvalve::loadtest {
 namespace {
 
-constexpr double kKilobytesPerMegabyte = 1024;
+constexpr double kBytesPerMegabyte = 1024 * 1024;
 constexpr double kNanosecondsPerSecond = 1e9;
 constexpr std::string_view kEstablished = "01";  // TCP state in /proc/net/tcp
 
@@ -59,18 +60,10 @@
 }
 
 MemoryUse memory_of(pid_t process) {
-  std::ifstream status(fmt::format("/proc/{}/status", process));
-  MemoryUse use;
-  for (std::string line; std::getline(status, line);) {
-    std::istringstream words(line);
-    std::string name;
-    double kilobytes = 0;
-    words >> name >> kilobytes;
-    if (name == "VmRSS:") use.resident_mb = kilobytes / kKilobytesPerMegabyte;
-    if (name == "VmHWM:") use.peak_mb = kilobytes / kKilobytesPerMegabyte;
-  }
-  if (use.resident_mb == 0) throw ScaleError(fmt::format("process {} has ended", process));
-  return use;
+  const std::optional<ProcessMemory> memory = read_process_memory(std::to_string(process));
+  if (!memory) throw ScaleError(fmt::format("process {} has ended", process));
+  return {static_cast<double>(memory->resident_bytes) / kBytesPerMegabyte,
+          static_cast<double>(memory->peak_bytes) / kBytesPerMegabyte};
 }
 
 size_t connections_to(pid_t process, LoopbackRange peers) {
--- a/src/net/loop.h
+++ b/src/net/loop.h
@@ -40,6 +40,9 @@
   // of the descriptors or more, a new client connection can evict only client connections.
   bool reserve_descriptor(bool for_client);
 
+  size_t buffered_bytes() const { return buffered_bytes_; }
+  size_t connection_count() const { return connections_.size(); }
+
   // Called by Connection only: its entry in the list of open connections, and its buffered bytes.
   using Entry = std::list<Connection*>::iterator;
   Entry add_connection(Connection& connection);
--- a/src/simulation/run.cpp
+++ b/src/simulation/run.cpp
@@ -7,19 +7,18 @@
 #include <chrono>
 #include <cmath>
 #include <cstdio>
-#include <fstream>
 #include <memory>
 
+#include "base/process_memory.h"
 #include "simulation/world.h"
 
 namespace firvalve::simulation {
 namespace {
 
 double peak_mb() {
-  std::ifstream file("/proc/self/status");
-  for (std::string line; std::getline(file, line);)
-    if (line.starts_with("VmHWM:")) return std::stod(line.substr(6)) / 1024;
-  return 0;
+  constexpr double kBytesPerMegabyte = 1024 * 1024;
+  const std::optional<ProcessMemory> memory = read_process_memory("self");
+  return memory ? static_cast<double>(memory->peak_bytes) / kBytesPerMegabyte : 0;
 }
 
 // Prints a table with one line for each second: results of the clients, events, and the state at its end.
--- a/tests/gateway/memory_limit_test.cpp
+++ b/tests/gateway/memory_limit_test.cpp
@@ -110,6 +110,12 @@
   expect_no_call_lost();
 }
 
+TEST_F(MemoryLimit, UseAboveShareOfLimitIsLoggedBeforeTheProcessIsKilled) {
+  EXPECT_TRUE(soon([&] { return contains(log_text(), R"(event="gateway.memory_high")"); })) << log_text();
+  EXPECT_TRUE(contains(log_text(), "limit_kb=4096")) << log_text();
+  EXPECT_TRUE(logs_soon("memory peak kB"));
+}
+
 // Guards against a slow reader that loses its answers while others hold messages that nobody is owed.
 TEST_F(MemoryLimit, AnswersOfSlowReaderOutliveUnfinishedMessages) {
   RawClient reader(address_);
