--- a/tests/gateway/process_memory_test.cpp
+++ b/tests/gateway/process_memory_test.cpp
@@ -73,9 +73,11 @@
   std::string large_message() const {
     return framed(command_request(1, "select 3 /* " + std::string(kLargeStatementBytes, 'x') + " */"));
   }
-  void expect_within_limit() {
+  void expect_usual_client_is_served() {
     RawClient usual(address_);
     EXPECT_TRUE(contains(usual.exchange(command_request(1 << 20, "select 2")), R"("result")"));
+  }
+  void expect_within_limit() {
     const auto memory = read_process_memory(std::to_string(process_->id()));
     ASSERT_TRUE(memory);
     EXPECT_LE(memory->peak_bytes, kMemoryMb * kBytesPerMegabyte);
@@ -92,6 +94,7 @@
   crowd.write({message.substr(0, message.size() - 5000)}, message.size(), std::chrono::milliseconds(2000));
   process_->signal(SIGCONT);
   ASSERT_TRUE(logs_soon("client messages skipped: memory limit"));
+  expect_usual_client_is_served();
   expect_within_limit();
 }
 
@@ -100,6 +103,7 @@
   const std::string message = large_message();
   crowd.write({message.substr(0, message.size() - 5000)}, 3000, std::chrono::milliseconds(4000));
   ASSERT_TRUE(logs_soon("client messages skipped: memory limit"));
+  expect_usual_client_is_served();
   expect_within_limit();
 }
 
@@ -114,6 +118,8 @@
   crowd.write(texts, texts[0].size(), std::chrono::milliseconds(4000));
   ASSERT_TRUE(logs_soon("commands admitted report: "));
   ::usleep(1000000);  // the rest is read
+  RawClient usual(address_);
+  EXPECT_TRUE(contains(usual.exchange(kHeartbeat), "healthy"));
   expect_within_limit();
 }
 
@@ -128,6 +134,7 @@
   crowd.write({framed(nested), framed(fields + "}"), framed(array + "]")}, 20000,
               std::chrono::milliseconds(4000));
   ASSERT_TRUE(logs_soon("calls not understood"));
+  expect_usual_client_is_served();
   expect_within_limit();
 }
 
