Memory limit: buffers are freed before a read, not after the turn in which all clients were read

Cause: the limit on buffered bytes was enforced at the end of a turn of the loop. Within the turn each connection that had bytes waiting grew its buffer first, by 16 kB or, since a vector doubles, by as much as it held: with 900 clients 14 to 58 MB above a limit of 13 MB. Evidence: ProcessMemoryLimit with 900 clients at 32 MB peaked at 36 MB when 16 kB of each arrived at once (900 x 16 kB above 12.8 MB of buffers and 8.4 MB of program), and at 45 to 77 MB when the buffers were larger; VmHWM was reached within one turn, and 819 of 900 messages were dropped after it. Change: a read goes into a space that all connections share; before its bytes are kept, Loop::make_room() frees what they need, by the same order as before. Buffers grow by a quarter, not twofold. Why it works: no allocation for input precedes its check, so the sum of all buffers stays within the limit at every moment.

--- a/src/net/connection.cpp
+++ b/src/net/connection.cpp
@@ -10,11 +10,6 @@
 
 using namespace Poco::Net;
 
-namespace {
-// Holds several messages, and is small enough for a thousand connections.
-constexpr size_t kReadBytes = size_t{16} * 1024;
-}  // namespace
-
 Connection::Connection(Loop& loop, const StreamSocket& accepted, Kind kind)
     : loop_(loop),
       socket_(accepted),
@@ -94,8 +89,8 @@
 
 // Reads once per turn, so that a peer that never stops sending does not starve other connections.
 void Connection::discard_input() {
-  char bytes[kReadBytes];
-  const ssize_t got = ::recv(socket_.impl()->sockfd(), bytes, sizeof bytes, 0);
+  const std::span<char> space = loop_.read_space();
+  const ssize_t got = ::recv(socket_.impl()->sockfd(), space.data(), space.size(), 0);
   if (got == 0) return close_and_report(End::kClosed);
   if (got < 0 && errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR) close_and_report(End::kReset);
 }
@@ -171,11 +166,11 @@
   if (!is_open_) return;
   if (!is_connected_) return;
   if (is_lingering_) return discard_input();
-  const auto space = read_buffer_.prepare(kReadBytes);
+  const std::span<char> space = loop_.read_space();
   const ssize_t got = ::recv(socket_.impl()->sockfd(), space.data(), space.size(), 0);
   if (got > 0) {
-    read_buffer_.commit(static_cast<size_t>(got));
     loop_.mark_active(entry_);
+    if (!buffer_input({space.data(), static_cast<size_t>(got)})) return;
     on_bytes();
     if (!is_open_) return;
     read_buffer_.release_unused();
@@ -188,6 +183,15 @@
   }
 }
 
+// Returns false if the connection gave up its buffers itself and reads no further message.
+bool Connection::buffer_input(std::string_view bytes) {
+  loop_.make_room(read_buffer_.growth(bytes.size()));
+  if (!is_open_ || is_lingering_) return false;
+  read_buffer_.append(bytes);
+  update_buffered_bytes();
+  return true;
+}
+
 void Connection::write(std::string_view bytes) {
   if (!is_open_) return;
   output_ += bytes;
--- a/src/net/connection.h
+++ b/src/net/connection.h
@@ -6,6 +6,7 @@
 #include <Poco/Net/StreamSocket.h>
 
 #include <string>
+#include <string_view>
 
 #include "net/loop.h"
 #include "proto/read_buffer.h"
@@ -72,6 +73,7 @@
   void on_writable(const Poco::AutoPtr<Poco::Net::WritableNotification>&);
   void on_error(const Poco::AutoPtr<Poco::Net::ErrorNotification>&);
   void read_available();
+  bool buffer_input(std::string_view bytes);
   bool finish_connecting();
   void flush();
   void on_flushed();
--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -77,8 +77,8 @@
 // Guards the memory limit against clients that send part of a message and stop, or do not read their answers:
 // their messages are dropped, or else their connections closed (buffer_reclaim.h). So are connections of
 // peers that have not identified themselves.
-void Loop::enforce_memory_limit() {
-  while (buffered_bytes_ > max_buffered_bytes_) {
+void Loop::make_room(size_t bytes) {
+  while (buffered_bytes_ + bytes > max_buffered_bytes_) {
     Connection* const connection = find_first_to_reclaim();
     if (!connection) return;
     if (connection->can_discard_message())
@@ -101,7 +101,7 @@
 
 void Loop::end_turn() {
   is_turn_open_ = false;
-  enforce_memory_limit();
+  make_room(0);  // for what was written in this turn
   const std::optional<TimePoint> due_at = on_turn ? on_turn(now()) : std::nullopt;
   is_turn_open_ = false;
   to_destroy_.clear();
--- a/src/net/loop.h
+++ b/src/net/loop.h
@@ -7,10 +7,12 @@
 
 #include <Poco/Net/SocketReactor.h>
 
+#include <array>
 #include <functional>
 #include <list>
 #include <memory>
 #include <optional>
+#include <span>
 #include <vector>
 
 #include "base/time.h"
@@ -40,6 +42,12 @@
   // of the descriptors or more, a new client connection can evict only client connections.
   bool reserve_descriptor(bool for_client);
 
+  // Frees buffers until so many more bytes fit into the limit, or nothing is left that can be freed. May
+  // close any connection or drop its incomplete message. Called before the bytes are allocated.
+  void make_room(size_t bytes);
+  // Receives the bytes of one read at a time, so that a connection allocates only what has arrived.
+  std::span<char> read_space() { return read_space_; }
+
   size_t buffered_bytes() const { return buffered_bytes_; }
   size_t connection_count() const { return connections_.size(); }
 
@@ -61,7 +69,6 @@
 
  private:
   void end_turn();
-  void enforce_memory_limit();
   Connection* find_first_to_evict(bool only_clients) const;  // null: none is evictable
   Connection* find_first_to_reclaim() const;                 // null: nothing can be reclaimed
 
@@ -72,6 +79,9 @@
   int client_count_ = 0, max_descriptors_ = 1024;
   size_t buffered_bytes_ = 0, max_buffered_bytes_ = size_t{16} * 1024 * 1024;
   std::vector<std::unique_ptr<Connection>> to_destroy_;
+  // Holds several messages.
+  static constexpr size_t kReadBytes = size_t{16} * 1024;
+  std::array<char, kReadBytes> read_space_{};
 };
 
 }  // namespace firvalve::net
--- a/src/proto/read_buffer.h
+++ b/src/proto/read_buffer.h
@@ -2,6 +2,7 @@
 // slice is valid until the next prepare().
 #pragma once
 
+#include <algorithm>
 #include <cstring>
 #include <span>
 #include <string_view>
@@ -19,7 +20,10 @@
       end_ -= begin_;
       begin_ = 0;
     }
-    if (bytes_.size() < end_ + min_bytes + 1) bytes_.resize(end_ + min_bytes + 1);
+    if (bytes_.size() < end_ + min_bytes + 1) {
+      bytes_.reserve(capacity_for(end_ + min_bytes + 1));
+      bytes_.resize(end_ + min_bytes + 1);
+    }
     return {bytes_.data() + end_, bytes_.size() - end_ - 1};
   }
   void commit(size_t count) { end_ += count; }
@@ -31,6 +35,8 @@
   std::string_view text() const { return {bytes_.data() + begin_, end_ - begin_}; }
   void consume(size_t count) { begin_ += count; }
   size_t capacity() const { return bytes_.capacity(); }
+  // By how much append() of so many bytes raises the capacity.
+  size_t growth(size_t count) const { return capacity_for(end_ - begin_ + count + 1) - bytes_.capacity(); }
   // Frees the memory if the buffer is empty, so that idle connections use little memory.
   void release_if_empty() {
     if (begin_ == end_) clear();
@@ -55,6 +61,12 @@
   }
 
  private:
+  // Grows by a quarter, so that a buffer takes little more than it holds and bytes are moved seldom.
+  size_t capacity_for(size_t size) const {
+    const size_t capacity = bytes_.capacity();
+    return size <= capacity ? capacity : std::max(size, capacity + capacity / 4);
+  }
+
   std::vector<char> bytes_;
   size_t begin_ = 0, end_ = 0;
 };
--- a/tests/proto/proto_test.cpp
+++ b/tests/proto/proto_test.cpp
@@ -29,6 +29,17 @@
   return reader.next(in, response);
 }
 
+TEST(ReadBuffer, TakesAtMostAQuarterMoreThanItHoldsAndSaysByHowMuchItGrows) {
+  ReadBuffer in;
+  const std::string piece(3000, 'x');
+  for (size_t held = piece.size(); held < 200000; held += piece.size()) {
+    const size_t expected = in.capacity() + in.growth(piece.size());
+    in.append(piece);
+    EXPECT_EQ(in.capacity(), expected);
+    EXPECT_LE(in.capacity(), held + held / 4 + 1);
+  }
+}
+
 TEST(RpcFrames, ReadsEachMessageOnceFromSingleByteReads) {
   RpcFrames frames;
   ReadBuffer in;
