Memory limit: pending commands count with their records, not only with their statements

Cause: the same class as the fault of the buffers, a limit that counts a part of what it bounds: of a pending command only its statement counted. 900 clients with 32 commands of 22 bytes each took 27 MB where 0.6 MB counted. Change: each command counts with 1,024 bytes for its records, until it is erased. A command beyond the share of the limit is answered as before (kNoCapacity). Why it works: the share bounds the number of commands, too. Two unit tests had counted statements only, and released them at the client's end; they now count records as well and until the erasure, which is when the memory is free. As strict: each limit is reached and left exactly.

--- a/src/core/core.h
+++ b/src/core/core.h
@@ -36,7 +36,7 @@
   kUnknownProfile,
   kDuplicateId,  // a command with this id is pending
   kOutOfRange,   // the timeout or an estimate exceeds the admission limits
-  kNoCapacity,   // the statements of pending commands would exceed their byte limit
+  kNoCapacity,   // the pending commands would exceed their limit on memory
   kResultFound,  // a retry whose result is stored: see Core::found_result(); nothing runs
 };
 
@@ -53,8 +53,8 @@
   Core(const Settings& settings, uint64_t seed, ResponseSink& responses, EngineTransport& engines,
        Metrics& metrics, EngineHealthObserver on_engine_health);
 
-  // Limits the total size of the statements of pending commands; a command that would exceed it is rejected.
-  void set_max_statement_bytes(size_t bytes) { commands_.set_max_statement_bytes(bytes); }
+  // Limits the memory of pending commands with their statements; a command that would exceed it is rejected.
+  void set_max_pending_bytes(size_t bytes) { commands_.set_max_bytes(bytes); }
   // Optional. The observer receives each event of each command and attempt.
   void set_observer(CommandObserver observer) { observer_ = std::move(observer); }
   // Without a store no result is paged. The store must outlive the core.
--- a/src/core/pending_commands.h
+++ b/src/core/pending_commands.h
@@ -57,10 +57,16 @@
 // References to commands stay valid until erase_released().
 class PendingCommands {
  public:
-  void set_max_statement_bytes(size_t bytes) { max_statement_bytes_ = bytes; }
+  // What one command takes besides its statement: its records here, in the policy and at its client's
+  // connection.
+  static constexpr size_t kRecordBytes = 1024;
+
+  void set_max_bytes(size_t bytes) { max_bytes_ = bytes; }
   bool has_capacity_for(const std::string& statement) const {
-    return statement_bytes_ + statement.size() <= max_statement_bytes_;
+    return bytes() + kRecordBytes + statement.size() <= max_bytes_;
   }
+  // Memory of all commands until they are erased.
+  size_t bytes() const { return commands_.size() * kRecordBytes + statement_bytes_; }
 
   // Returns null if a command with that id is pending.
   PendingCommand* add(const CommandId& id, CallId call, const CommandId& retry_chain, std::string statement);
@@ -97,7 +103,6 @@
     for (auto& [id, command] : commands_) visit(command);
   }
   size_t command_count() const { return commands_.size() - released_.size(); }
-  size_t bytes() const { return statement_bytes_; }
   size_t call_count() const { return calls_.size(); }
 
  private:
@@ -112,7 +117,7 @@
   std::map<AttemptId, PendingCommand*> attempts_;
   std::vector<CommandId> released_;
   AttemptId last_attempt_{};
-  size_t max_statement_bytes_ = SIZE_MAX, statement_bytes_ = 0;
+  size_t max_bytes_ = SIZE_MAX, statement_bytes_ = 0;
 };
 
 }  // namespace firvalve
--- a/src/gateway/serve.cpp
+++ b/src/gateway/serve.cpp
@@ -34,9 +34,9 @@
 // a reserve.
 constexpr int kReservedDescriptors = 20;
 
-// Shares of the memory limit for the connections' buffers, the statements in flight and a replica's
+// Shares of the memory limit for the connections' buffers, the pending commands and a replica's
 // registers. The rest is left to the program itself.
-constexpr double kBufferShare = 0.4, kStatementShare = 0.2, kRegisterShare = 0.1;
+constexpr double kBufferShare = 0.4, kCommandShare = 0.2, kRegisterShare = 0.1;
 
 // The gateway connects to the event bus for the first time within this share of the drain grace.
 constexpr double kFirstWatchShare = 0.1;
@@ -129,7 +129,7 @@
         });
   Core core(settings, config.seed, cluster ? static_cast<ResponseSink&>(*cluster) : clients, engines, metrics,
             [&](const EngineHealthChange& change) { event_log.log_engine_health_change(change); });
-  core.set_max_statement_bytes(static_cast<size_t>(kStatementShare * memory_bytes));
+  core.set_max_pending_bytes(static_cast<size_t>(kCommandShare * memory_bytes));
   engines.set_core(core);
   if (cluster) {
     cluster->set_core(core);
--- a/tests/core/admission_test.cpp
+++ b/tests/core/admission_test.cpp
@@ -53,13 +53,26 @@
   EXPECT_EQ(core.active_command_count(), 0u);
 }
 
-TEST_F(CoreTest, StatementsOfPendingCommandsStayWithinTheByteLimit) {
-  core.set_max_statement_bytes(10);
+TEST_F(CoreTest, PendingCommandsWithTheirStatementsStayWithinTheByteLimit) {
+  core.set_max_pending_bytes(PendingCommands::kRecordBytes + 10);
   EXPECT_EQ(admit(1), AdmissionResult::kAdmitted);
   EXPECT_EQ(admit(2, "0000000000000002"), AdmissionResult::kNoCapacity);
   core.client_gone(time_point_of(1000), CallId{1});
+  core.decide(time_point_of(1005));  // erases it
   EXPECT_EQ(admit(3, "0000000000000003"), AdmissionResult::kAdmitted);
 }
 
+// Guards against a process over its memory limit: many commands of a few bytes each were not counted.
+TEST_F(CoreTest, RecordsOfCommandsCountUntilTheyAreErased) {
+  core.set_max_pending_bytes(2 * PendingCommands::kRecordBytes + 100);
+  EXPECT_EQ(admit(1), AdmissionResult::kAdmitted);
+  EXPECT_EQ(admit(2, "0000000000000002"), AdmissionResult::kAdmitted);
+  EXPECT_EQ(admit(3, "0000000000000003"), AdmissionResult::kNoCapacity);
+  core.client_gone(time_point_of(1000), CallId{1});
+  EXPECT_EQ(admit(4, "0000000000000004"), AdmissionResult::kNoCapacity);
+  core.decide(time_point_of(1005));
+  EXPECT_EQ(admit(5, "0000000000000005"), AdmissionResult::kAdmitted);
+}
+
 }  // namespace
 }  // namespace firvalve
--- a/tests/core/pending_commands_test.cpp
+++ b/tests/core/pending_commands_test.cpp
@@ -36,15 +36,23 @@
   EXPECT_EQ(commands.command_count(), 0u);
 }
 
-TEST(PendingCommands, StatementsCountAgainstTheLimitUntilReleased) {
+TEST(PendingCommands, StatementsCountAgainstTheLimitUntilReleasedAndRecordsUntilErased) {
   PendingCommands commands;
-  commands.set_max_statement_bytes(10);
+  commands.set_max_bytes(2 * PendingCommands::kRecordBytes + 10);
+  PendingCommand& held = *commands.add(kTwo, CallId{2}, kTwo, "");
   EXPECT_TRUE(commands.has_capacity_for("0123456789"));
   EXPECT_FALSE(commands.has_capacity_for("0123456789a"));
   PendingCommand& command = *commands.add(kOne, CallId{1}, kOne, "select 1");
   EXPECT_FALSE(commands.has_capacity_for("abc"));
   commands.finish(command);
+  EXPECT_EQ(commands.bytes(), 2 * PendingCommands::kRecordBytes);
+  EXPECT_FALSE(commands.has_capacity_for(""));
+  commands.erase_released();
   EXPECT_TRUE(commands.has_capacity_for("0123456789"));
+  EXPECT_FALSE(commands.has_capacity_for("0123456789a"));
+  commands.finish(held);
+  commands.erase_released();
+  EXPECT_EQ(commands.bytes(), 0u);
 }
 
 TEST(PendingCommands, RetryChainLeadsToItsLatestUnfinishedCommand) {
