Retry budget: admissions that left the window are forgotten without a retry, too

Cause: the time of every admission was kept for the retry budget, and dropped only when a retry asked for the budget; never if the settings set no budget. Other fields of the state did not grow. Change: count_admission() drops what has left the window at each admission, counts nothing without a budget and holds 16,384 times at most; more commands in one window do not widen the budget, which errs towards fewer retries. Result: RetryBudget.AdmissionsOutsideTheWindowAreForgottenWithoutRetries (20,000 and 100,000 admissions: 5,001 and 16,384 kept; all were kept before).

--- a/src/policy/admission_queue.cpp
+++ b/src/policy/admission_queue.cpp
@@ -65,7 +65,7 @@
 void assign_engine(State& state, Command& command, size_t index, TimePoint now) {
   const Profile& profile = profile_of(state, command);
   if (command.attempts > 0)
-    state.retry_budget.retries.add(now);  // counted now, so that the next command in the queue sees it
+    count_retry(state, now);  // counted now, so that the next command in the queue sees it
   command.desired = DesiredState::kInFlight;
   command.desired_engine_index = index;
   command.desired_hints = scheduling_hints_for(state, command);
--- a/src/policy/policy.cpp
+++ b/src/policy/policy.cpp
@@ -56,7 +56,7 @@
   command.request = event;
   command.profile = static_cast<size_t>(*event.profile);
   command.admitted_at = command.queued_since = now;
-  state.retry_budget.admitted.add(now);
+  count_admission(state, now);
   predict_cost(state, command);
 }
 
--- a/src/policy/retry.cpp
+++ b/src/policy/retry.cpp
@@ -13,8 +13,10 @@
 using namespace std::chrono_literals;
 
 constexpr Duration kDeduplicationMargin = 200ms;  // part of the window left for the way to the engine
-constexpr double kResubmitWindowShare = 0.5;      // share of the window that a client has to send again
-constexpr Duration kHalfCloseGrace = 50ms;  // after a half-close; at 100 ms a closed client counts as gone
+// Bounds the memory at any rate of admissions. Commands beyond it do not widen the budget.
+constexpr size_t kMaxCountedAdmissions = 16384;
+constexpr double kResubmitWindowShare = 0.5;  // share of the window that a client has to send again
+constexpr Duration kHalfCloseGrace = 50ms;    // after a half-close; at 100 ms a closed client counts as gone
 
 bool has_client_left(const Command& command, TimePoint now) {
   return command.half_closed_at && now > *command.half_closed_at + kHalfCloseGrace;
@@ -48,6 +50,17 @@
 
 }  // namespace
 
+void count_admission(State& state, TimePoint now) {
+  RetryBudget& budget = state.retry_budget;
+  if (!state.options.retry_budget.is_limited) return;
+  budget.admitted.erase_before(now - state.options.retry_budget.window);
+  if (budget.admitted.size() < kMaxCountedAdmissions) budget.admitted.add(now);
+}
+
+void count_retry(State& state, TimePoint now) {
+  if (state.options.retry_budget.is_limited) state.retry_budget.retries.add(now);
+}
+
 bool has_retry_budget(State& state, TimePoint now) {
   const RetryBudgetOptions& options = state.options.retry_budget;
   RetryBudget& budget = state.retry_budget;
--- a/src/policy/retry.h
+++ b/src/policy/retry.h
@@ -30,6 +30,10 @@
   SlidingWindow admitted, retries;
 };
 
+// Counts a command, or a retry, in the window of the budget. The memory is bounded at any rate.
+void count_admission(State& state, TimePoint now);
+void count_retry(State& state, TimePoint now);
+
 // Whether the budget allows one more retry now.
 bool has_retry_budget(State& state, TimePoint now);
 
--- a/tests/policy/retry_test.cpp
+++ b/tests/policy/retry_test.cpp
@@ -108,6 +108,23 @@
   EXPECT_TRUE(has_retry_budget(state, at(5250)));   // all events have left the window
 }
 
+// Guards against memory that grows with each command: admissions were kept until the next retry, or for ever.
+TEST(RetryBudget, AdmissionsOutsideTheWindowAreForgottenWithoutRetries) {
+  State state = state_with(1, {make_profile(Effect::kReplayable)});
+  state.options.retry_budget = {.is_limited = true, .allowance = 1, .share = 0.1, .window = span(5000)};
+  for (int i = 0; i < 20000; ++i) count_admission(state, at(i));
+  EXPECT_LE(state.retry_budget.admitted.size(), 5001u);
+  for (int i = 0; i < 100000; ++i) count_admission(state, at(20000));
+  EXPECT_LT(state.retry_budget.admitted.size(), 20000u);
+  EXPECT_TRUE(has_retry_budget(state, at(20000)));
+}
+
+TEST(RetryBudget, NothingIsCountedIfRetriesAreUnlimited) {
+  State state = state_with(1, {make_profile(Effect::kReplayable)});
+  for (int i = 0; i < 100; ++i) count_admission(state, at(i)), count_retry(state, at(i));
+  EXPECT_EQ(state.retry_budget.admitted.size() + state.retry_budget.retries.size(), 0u);
+}
+
 TEST(RetryBudget, RetriesOfOneReviewShareTheBudget) {
   State state = state_with(4, {make_profile(Effect::kReplayable)});
   state.options.retry_budget.is_limited = true;
