Connections free what they have sent while more waits to be sent

A client that reads steadily could be closed at the memory limit for bytes that it had read long ago. Cause: the output buffer was freed only when it ran empty, so a peer that always leaves some unsent lets it grow by all that is ever sent. Evidence: LoopTest.SentBytesAreFreedWhileOthersWait, 1 MB unsent at all times: 65.5 MB held after 50 MB, 4 MB allowed. A real client that reads 20 to 200 kB per ms beside a stream of small requests did not show it in three trials (8.4 MB), since the kernel takes megabytes at once there. Change: the sent part is cut off once it is the larger one.

--- a/src/net/connection.cpp
+++ b/src/net/connection.cpp
@@ -215,10 +215,16 @@
     }
   }
   if (!is_open_) return;
-  if (output_sent_ == output_.size())
-    on_flushed();
-  else if (!is_writing_)
-    set_interest(is_reading_, true);
+  if (output_sent_ == output_.size()) return on_flushed();
+  free_sent_output();
+  if (!is_writing_) set_interest(is_reading_, true);
+}
+
+// A peer that reads steadily may never let the buffer run empty. Moves each byte at most once per byte sent.
+void Connection::free_sent_output() {
+  if (output_sent_ < unsent_bytes()) return;
+  output_.erase(0, output_sent_);
+  output_sent_ = 0;
 }
 
 void Connection::on_flushed() {
--- a/src/net/connection.h
+++ b/src/net/connection.h
@@ -77,6 +77,7 @@
   bool finish_connecting();
   void flush();
   void on_flushed();
+  void free_sent_output();
   void discard_input();
   void end_stream();
   void update_buffered_bytes();
--- a/tests/net/loop_test.cpp
+++ b/tests/net/loop_test.cpp
@@ -3,7 +3,10 @@
 
 #include <Poco/Net/StreamSocket.h>
 #include <gtest/gtest.h>
+#include <sys/socket.h>
 
+#include <algorithm>
+#include <array>
 #include <chrono>
 #include <memory>
 #include <string>
@@ -89,6 +92,29 @@
   EXPECT_FALSE(stranger.is_open());
 }
 
+// Guards against memory that grows while a peer reads all that it is sent, but never empties the buffer.
+TEST_F(LoopTest, SentBytesAreFreedWhileOthersWait) {
+  constexpr size_t kUnsentBytes = 1000000, kTotalBytes = size_t{50} * kUnsentBytes;
+  auto& connection = add_connection(Connection::Kind::kTcp, false, 1);
+  accepted_.back().setSendBufferSize(50000);  // less than is unsent, so that some always waits
+  StreamSocket& peer = peers_.back();
+  peer.setBlocking(false);
+  size_t written = 0, most_buffered = 0;
+  loop_.on_turn = [&](TimePoint now) -> std::optional<TimePoint> {
+    std::array<char, 65536> bytes{};
+    ::recv(peer.impl()->sockfd(), bytes.data(), bytes.size(), 0);
+    while (connection.unsent_bytes() < kUnsentBytes) {
+      connection.write(std::string(1000, 'x'));
+      written += 1000;
+    }
+    most_buffered = std::max(most_buffered, connection.buffered_bytes());
+    if (written > kTotalBytes) loop_.stop();
+    return now;
+  };
+  loop_.run();
+  EXPECT_LT(most_buffered, size_t{4} * kUnsentBytes);
+}
+
 TEST_F(LoopTest, ConnectionInUseIsNotClosedForMemory) {
   const auto& peer = add_connection(Connection::Kind::kTcp, false, 2 * kMaxBufferedBytes);
   run_until_read(2 * kMaxBufferedBytes);
