--- a/tests/proto/proto_test.cpp
+++ b/tests/proto/proto_test.cpp
@@ -4,6 +4,7 @@
 #include "framed.h"
 #include "proto/base64.h"
 #include "proto/bus/bus.h"
+#include "proto/json.h"
 #include "proto/jsonrpc/reply.h"
 #include "proto/jsonrpc/rpc.h"
 #include "proto/statement.h"
@@ -29,6 +30,18 @@
   return reader.next(in, response);
 }
 
+// Guards against texts whose parsed form takes many times their size.
+TEST(ReadCall, MessageOfVeryManyValuesIsRejected) {
+  const auto with_values = [](size_t count) {
+    std::string body = R"({"jsonrpc":"2.0","id":7,"method":"heartbeat","params":[0)";
+    for (size_t i = 1; i < count; ++i) body += ",0";
+    return body + "]}";
+  };
+  EXPECT_EQ(read(with_values(kMaxJsonValues - 5)).kind, RpcCall::Kind::kHeartbeat);
+  EXPECT_EQ(read(with_values(kMaxJsonValues + 1)).error_code, kRpcUnreadable);
+  EXPECT_EQ(read(std::string(60000, '[') + std::string(60000, ']')).error_code, kRpcUnreadable);
+}
+
 TEST(ReadBuffer, TakesAtMostAQuarterMoreThanItHoldsAndSaysByHowMuchItGrows) {
   ReadBuffer in;
   const std::string piece(3000, 'x');
