Memory limit: the shares divide what the program and the result store leave

Cause: the shares of buffers, commands and registers were parts of the whole limit, so with the 8.4 MB of the program itself they sum up to 18.0 MB of 16, and with a result store of half of the limit to 119 in 100 of any limit, before anything else. Change: divide_memory() takes the shares of what is left after the resident program and the result store; at least of half of the limit. An earlier form of the parameterized test named its log after the test, with a slash, and failed 8 of 8 for want of a log; the fixture replaces it.

--- a/src/gateway/serve.cpp
+++ b/src/gateway/serve.cpp
@@ -6,11 +6,13 @@
 #include <optional>
 #include <random>
 
+#include "base/process_memory.h"
 #include "cluster/cluster_service.h"
 #include "core/settings.h"
 #include "gateway/event_log.h"
 #include "gateway/gateway_config.h"
 #include "gateway/memory_monitor.h"
+#include "gateway/memory_shares.h"
 #include "gateway/reload.h"
 #include "gateway/result_store_wiring.h"
 #include "gateway/shutdown.h"
@@ -34,10 +36,6 @@
 // a reserve.
 constexpr int kReservedDescriptors = 20;
 
-// Shares of the memory limit for the connections' buffers, the pending commands and a replica's
-// registers. The rest is left to the program itself.
-constexpr double kBufferShare = 0.4, kCommandShare = 0.2, kRegisterShare = 0.1;
-
 // The gateway connects to the event bus for the first time within this share of the drain grace.
 constexpr double kFirstWatchShare = 0.1;
 
@@ -47,9 +45,17 @@
   return value > 0 ? duration_of(value) : default_value;
 }
 
-cluster::ClusterOptions cluster_options(const config::OperatorConfig::Cluster& section, double memory_bytes) {
+FixedMemory fixed_memory(const config::OperatorConfig::PagedResults& section) {
+  constexpr double kBytesPerMegabyte = 1024 * 1024;
+  const std::optional<ProcessMemory> memory = read_process_memory("self");
+  return {memory ? static_cast<double>(memory->resident_bytes) : 0,
+          section.on ? section.memory_mb * kBytesPerMegabyte : 0};
+}
+
+cluster::ClusterOptions cluster_options(const config::OperatorConfig::Cluster& section,
+                                        size_t register_bytes) {
   cluster::ClusterOptions options = cluster::options_from(section);
-  options.max_register_bytes = static_cast<size_t>(kRegisterShare * memory_bytes);
+  options.max_register_bytes = register_bytes;
   std::random_device device;
   options.random_seed = (static_cast<uint64_t>(device()) << 32) | device();
   return options;
@@ -102,14 +108,14 @@
   GatewayConfig config = read_gateway_config();
   check_result_store_memory(operator_config, config, operator_file);
   const Settings& settings = config.settings;
-  const double memory_bytes = config.memory_limit_bytes();
+  const MemoryShares memory =
+      divide_memory(config.memory_limit_bytes(), fixed_memory(operator_config.paged_results));
 
   // The log, and the loop with its limits.
   log::Log log;
   configure_log(log, operator_config.log);
   net::Loop loop;
-  loop.set_limits(config.max_descriptors - kReservedDescriptors,
-                  static_cast<size_t>(kBufferShare * memory_bytes));
+  loop.set_limits(config.max_descriptors - kReservedDescriptors, memory.buffer_bytes);
   EventLog event_log(log, loop);
   Metrics metrics;
 
@@ -123,13 +129,13 @@
   std::unique_ptr<cluster::ClusterService> cluster;
   if (operator_config.cluster.on)
     cluster = std::make_unique<cluster::ClusterService>(
-        loop, metrics, cluster_options(operator_config.cluster, memory_bytes), clients,
+        loop, metrics, cluster_options(operator_config.cluster, memory.register_bytes), clients,
         [&](log::Level level, std::string_view event, log::Fields fields) {
           event_log.write(level, event, fields);
         });
   Core core(settings, config.seed, cluster ? static_cast<ResponseSink&>(*cluster) : clients, engines, metrics,
             [&](const EngineHealthChange& change) { event_log.log_engine_health_change(change); });
-  core.set_max_pending_bytes(static_cast<size_t>(kCommandShare * memory_bytes));
+  core.set_max_pending_bytes(memory.command_bytes);
   engines.set_core(core);
   if (cluster) {
     cluster->set_core(core);
@@ -160,7 +166,7 @@
 
   clients.listen(config.listen_address, core);
 
-  MemoryMonitor memory_monitor(event_log, metrics, {loop, core}, memory_bytes);
+  MemoryMonitor memory_monitor(event_log, metrics, {loop, core}, config.memory_limit_bytes());
 
   // Signals.
   Shutdown shutdown({core, clients, event_log, cluster.get(), result_store},
--- a/tests/gateway/logged_gateway_fixture.h
+++ b/tests/gateway/logged_gateway_fixture.h
@@ -10,6 +10,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <cerrno>
 #include <cstdio>
 #include <fstream>
@@ -126,6 +127,7 @@
   void start(const std::string& config) {
     log_ = "gateway-" + std::to_string(::getpid()) + "-" +
            testing::UnitTest::GetInstance()->current_test_info()->name() + ".log";
+    std::replace(log_.begin(), log_.end(), '/', '-');  // of a parameterized test's name
     std::remove(log_.c_str());
     process_ = std::make_unique<fakes::Process>(FIRVALVE_PROGRAM, config, std::vector<std::string>{}, log_);
   }
--- a/tests/gateway/process_memory_test.cpp
+++ b/tests/gateway/process_memory_test.cpp
@@ -19,7 +19,6 @@
 namespace firvalve {
 namespace {
 
-constexpr int kMemoryMb = 32;  // the least that the pages name
 constexpr int kDescriptors = 1024;
 constexpr size_t kClients = 900;
 constexpr size_t kBytesPerMegabyte = size_t{1024} * 1024;
@@ -63,11 +62,12 @@
   std::vector<StreamSocket> sockets_;
 };
 
-class ProcessMemoryLimit : public LoggedGateway {
+// The parameter is the limit in MB.
+class ProcessMemoryLimit : public LoggedGateway, public testing::WithParamInterface<int> {
  protected:
   ProcessMemoryLimit() : LoggedGateway(6) {}
   void SetUp() override {
-    start(deployment_.config(address_, kMemoryMb, kDescriptors));
+    start(deployment_.config(address_, GetParam(), kDescriptors));
     { RawClient first(address_); }  // waits until the program serves
   }
   std::string large_message() const {
@@ -80,14 +80,14 @@
   void expect_within_limit() {
     const auto memory = read_process_memory(std::to_string(process_->id()));
     ASSERT_TRUE(memory);
-    EXPECT_LE(memory->peak_bytes, kMemoryMb * kBytesPerMegabyte);
+    EXPECT_LE(memory->peak_bytes, static_cast<size_t>(GetParam()) * kBytesPerMegabyte);
     process_->signal(SIGTERM);
     EXPECT_EQ(process_->wait(), 0) << log_text();
   }
 };
 
 // What hundreds of clients have sent waits when the process gets to run, and none of it has an end.
-TEST_F(ProcessMemoryLimit, HoldsWhenUnfinishedMessagesOfAllClientsArriveAtOnce) {
+TEST_P(ProcessMemoryLimit, HoldsWhenUnfinishedMessagesOfAllClientsArriveAtOnce) {
   Crowd crowd(address_, kClients);
   process_->signal(SIGSTOP);
   const std::string message = large_message();
@@ -98,7 +98,7 @@
   expect_within_limit();
 }
 
-TEST_F(ProcessMemoryLimit, HoldsWhenClientsWriteLargeMessagesSlowly) {
+TEST_P(ProcessMemoryLimit, HoldsWhenClientsWriteLargeMessagesSlowly) {
   Crowd crowd(address_, kClients);
   const std::string message = large_message();
   crowd.write({message.substr(0, message.size() - 5000)}, 3000, std::chrono::milliseconds(4000));
@@ -108,7 +108,7 @@
 }
 
 // As many commands as the protocol allows on each connection, of a few bytes each.
-TEST_F(ProcessMemoryLimit, HoldsWhenAllClientsHaveManySmallCommandsOpen) {
+TEST_P(ProcessMemoryLimit, HoldsWhenAllClientsHaveManySmallCommandsOpen) {
   constexpr int kOpenCalls = 32;
   std::vector<std::string> texts(kClients);
   for (int i = 0; i < static_cast<int>(kClients) * kOpenCalls; ++i)
@@ -124,7 +124,7 @@
 }
 
 // A text whose parsed form is many times its size.
-TEST_F(ProcessMemoryLimit, HoldsWhenClientsSendManySmallOrNestedFields) {
+TEST_P(ProcessMemoryLimit, HoldsWhenClientsSendManySmallOrNestedFields) {
   std::string nested = std::string(60000, '[') + std::string(60000, ']');
   std::string fields = R"({"a":1)";
   for (int i = 0; i < 20000; ++i) fields += R"(,"a":1)";
@@ -138,5 +138,8 @@
   expect_within_limit();
 }
 
+INSTANTIATE_TEST_SUITE_P(Megabytes, ProcessMemoryLimit, testing::Values(16, 32),
+                         testing::PrintToStringParamName());
+
 }  // namespace
 }  // namespace firvalve
