The id of a command that may have run and must not run twice is refused later, too

Cause: an id counts as a duplicate while its command is pending. Once its client has left and its attempt has ended, nothing knows that it may have run. A run-once job whose command is refused so counts as failed, not as never run. Why it works: whatever ended the command, its possible run is recorded at the one place where an attempt ends.

--- a/src/cluster/run_once_requests.cpp
+++ b/src/cluster/run_once_requests.cpp
@@ -62,10 +62,12 @@
   const CallId call = last_started_ = next_after(last_started_);
   started_[call] = action.key;
   log_.record_started_job(action.key);
-  if (core_->admit(now, call, std::move(command)) != AdmissionResult::kAdmitted) {
-    started_.erase(call);
-    jobs_.on_run_finished(BootClock::now(), action.key, RunOutcome::kNeverRan, {});
-  }
+  const AdmissionResult admitted = core_->admit(now, call, std::move(command));
+  if (admitted == AdmissionResult::kAdmitted) return;
+  started_.erase(call);
+  const RunOutcome outcome =
+      admitted == AdmissionResult::kAlreadyRan ? RunOutcome::kFailed : RunOutcome::kNeverRan;
+  jobs_.on_run_finished(BootClock::now(), action.key, outcome, {});
 }
 
 void RunOnceRequests::respond(const Action& action) {
--- a/src/core/core.cpp
+++ b/src/core/core.cpp
@@ -54,8 +54,9 @@
     found_result_ = results_.find(now, request);
     if (found_result_) return AdmissionResult::kResultFound;
   }
-  if (!commands_.has_capacity_for(request.statement)) return AdmissionResult::kNoCapacity;
   const CommandId id = command_id_of(request.command);
+  if (must_not_run_again(state_, id)) return AdmissionResult::kAlreadyRan;
+  if (!commands_.has_capacity_for(request.statement)) return AdmissionResult::kNoCapacity;
   PendingCommand* const command =
       commands_.add(id, call, is_retry ? command_id_of(request.retry_of) : id, std::move(request.statement));
   if (!command) return AdmissionResult::kDuplicateId;
--- a/src/core/core.h
+++ b/src/core/core.h
@@ -35,6 +35,7 @@
   kAdmitted,
   kUnknownProfile,
   kDuplicateId,  // a command with this id is pending
+  kAlreadyRan,   // a command with this id may have run and must not run again
   kOutOfRange,   // the timeout or an estimate exceeds the admission limits
   kNoCapacity,   // the pending commands would exceed their limit on memory
   kResultFound,  // a retry whose result is stored: see Core::found_result(); nothing runs
--- a/src/net/client_connection.cpp
+++ b/src/net/client_connection.cpp
@@ -309,6 +309,9 @@
     case AdmissionResult::kNoCapacity:
       server_.metrics_.add("calls rejected: out of memory");
       return proto::append_error(out, call.id, true, proto::kRpcFailed, "failed");
+    case AdmissionResult::kAlreadyRan:
+      server_.metrics_.add("calls rejected: id has run");
+      return proto::append_error(out, call.id, true, proto::kRpcFailed, "failed");
     case AdmissionResult::kDuplicateId:
       return reject_call(call, out, proto::kRpcBadParams, "req is in hand already");
   }
--- a/src/policy/attempt_events.cpp
+++ b/src/policy/attempt_events.cpp
@@ -107,6 +107,7 @@
   remove_from_in_flight(state, *command, state.engines[*command->attempt.engine_index]);
   learn_from_outcome(state, now, *command, event);
   record_possible_run(*command, event.outcome);
+  remember_run(state, *command);
   if (may_still_run(event.outcome)) start_key_cooldown(state, *command, now);
   command->attempt.state = AttemptState::kNone;
   command->is_ended |= event.is_command_finished;
--- a/src/policy/state.h
+++ b/src/policy/state.h
@@ -17,6 +17,7 @@
 #include "policy/engine_selection.h"
 #include "policy/profile.h"
 #include "policy/random.h"
+#include "policy/recent_runs.h"
 #include "policy/retry.h"
 #include "policy/settings.h"
 #include "policy/slow_start.h"
@@ -56,6 +57,7 @@
   EngineSelectionState selection;
   ConcurrencyState concurrency;
   RetryBudget retry_budget;
+  RecentRuns recent_runs;
   // State of the gateway itself:
   std::optional<TimePoint> timer_at;        // when the pending timer expires
   std::optional<TimePoint> next_tick_at;    // next periodic decision; set while commands are active
--- a/tests/gateway/lifecycle_faults_test.cpp
+++ b/tests/gateway/lifecycle_faults_test.cpp
@@ -55,6 +55,25 @@
   EXPECT_EQ(engine_.runs(statement), 1);
 }
 
+// An id that comes again after its client has left must not run twice: each client gets an error that does
+// not advise it to try again.
+TEST_F(LifecycleFaults, NonReplayableIdIsNotRunAgainAfterItsClientHasLeft) {
+  start(deployment_.config(address_));
+  const std::string statement = "insert into a_1.b values (1) /*! delay=1000 */";
+  RawClient left(address_);
+  left.send(command_request(1, statement, 20000, "load"));
+  ASSERT_TRUE(soon([&] { return engine_.runs(statement) == 1; }));
+  left.send(R"({"jsonrpc":"2.0","method":"revoke","params":{"id":1}})");
+  ASSERT_TRUE(logs_soon("attempts finished cancelled: 1"));
+  RawClient again(address_);
+  const std::string answer = again.exchange(command_request(1, statement, 20000, "load"));
+  EXPECT_TRUE(contains(answer, R"("error":{"code":-32000)")) << answer;
+  EXPECT_EQ(engine_.runs(statement), 1);
+  EXPECT_TRUE(contains(again.exchange(command_request(2, "select 2", 4000, "load")), R"("result")"));
+  EXPECT_TRUE(contains(again.exchange(command_request(2, "select 2", 4000, "load")), R"("error")"));
+  EXPECT_EQ(engine_.runs("select 2"), 1);
+}
+
 // A listener with a full backlog: further connects wait in the kernel until it accepts.
 class FullBacklogListener {
  public:
