A client's end is seen behind the requests that wait unread before it

Cause: the end of the stream was noticed when all before it had been read. Requests that were read earlier counted as those of a client that is there, and a request's time to start counted from when it was read, not from the end. While answers wait unsent (128 KB) nothing is read, so the end was not seen at all. CoreTest.CommandReadLongAfterItsClientsEndIsShed cannot be expressed on the text before.

--- a/src/core/core.cpp
+++ b/src/core/core.cpp
@@ -95,7 +95,7 @@
     return false;
   commands_.add_call(*command, call);
   metrics_.add("retries joined", profile_name(*command));
-  update_half_closed(now, *command);
+  update_half_closed(now, *command, now);
   return true;
 }
 
@@ -110,28 +110,28 @@
   metrics_.add("given up by client", profile_name(*command));
   if (!command->joined_retries.empty()) {  // other calls still wait for it
     commands_.remove_call(*command, call);
-    return update_half_closed(now, *command);
+    return update_half_closed(now, *command, now);
   }
   notify_observer(now, *command, {.kind = CommandEvent::Kind::kClientGone});
   finish(*command);
   handle_event(now, ClientGone{command->id});
 }
 
-void Core::client_half_closed(TimePoint now, CallId call) {
+void Core::client_half_closed(TimePoint now, CallId call, TimePoint since) {
   PendingCommand* const command = commands_.find_by_call(call);
   if (!command) return;
   commands_.half_close(call);
-  update_half_closed(now, *command);
+  update_half_closed(now, *command, since);
 }
 
 // Notifies the policy when the command's clients become all half-closed, or no longer are. A half-closed
 // client may have disconnected.
-void Core::update_half_closed(TimePoint now, PendingCommand& command) {
+void Core::update_half_closed(TimePoint now, PendingCommand& command, TimePoint since) {
   bool all_half_closed = true;
   command.for_each_call([&](CallId call) { all_half_closed &= commands_.is_half_closed(call); });
   if (all_half_closed == command.half_closed) return;
   command.half_closed = all_half_closed;
-  handle_event(now, ClientHalfClosed{command.id, all_half_closed});
+  handle_event(now, ClientHalfClosed{command.id, all_half_closed, since});
 }
 
 // ---- Engines --------------------------------------------------------------------------------------
--- a/src/core/core.h
+++ b/src/core/core.h
@@ -68,8 +68,8 @@
   std::optional<ResultHandle> found_result() const { return found_result_; }
   // The client has revoked the call or disconnected, so the call gets no response. Ignores unknown calls.
   void client_gone(TimePoint now, CallId call);
-  // The client has closed its sending side but may still read. Ignores unknown calls.
-  void client_half_closed(TimePoint now, CallId call);
+  // The client has closed its sending side, seen at `since`, but may still read. Ignores unknown calls.
+  void client_half_closed(TimePoint now, CallId call, TimePoint since);
   // The first call that waits for this command, if any.
   std::optional<CallId> find_call(std::string_view command) const;
 
@@ -114,7 +114,7 @@
   void shed_or_fail(TimePoint now, PendingCommand& command, const Action& action);
   void fail_out_of_space(TimePoint now, PendingCommand& command);
   void finish(PendingCommand& command);
-  void update_half_closed(TimePoint now, PendingCommand& command);
+  void update_half_closed(TimePoint now, PendingCommand& command, TimePoint since);
   // ---- Decisions
   void handle_event(TimePoint now, const Event& event);
   void cancel_past_deadline(TimePoint now);
--- a/src/net/client_connection.cpp
+++ b/src/net/client_connection.cpp
@@ -80,6 +80,7 @@
     return reject_connection("message cut short");
   if (!has_sent_message_ && now - last_active_at_ > proto::kRpcMessageTimeout)
     return reject_connection("no message");
+  if (unsent_bytes() > kMaxUnsentBytes) look_for_end();  // nothing is read until the client reads
   // Input that has already arrived is handled first.
   if (open_calls_.empty() && now - last_active_at_ > proto::kRpcIdleTimeout && has_nothing_to_read())
     start_graceful_close();
@@ -121,6 +122,7 @@
 }
 
 void ClientConnection::on_bytes() {
+  if (may_have_more_input()) look_for_end();
   if (skipped_message_ && !skip_message()) return;
   std::span<char> message;
   for (;;) {
@@ -155,11 +157,22 @@
 // the client's commands only without further delay.
 bool ClientConnection::keeps_half_open() {
   is_half_closed_by_peer_ = true;
-  const TimePoint now = loop_.now();
-  for (const auto& [id, call] : open_calls_) server_.core_->client_half_closed(now, call);
+  report_end();
   return !open_calls_.empty() || unsent_bytes() > 0;
 }
 
+void ClientConnection::look_for_end() {
+  if (!end_seen_at_ && has_peer_ended()) report_end();
+}
+
+// A client whose end is known may have left, so requests that are read behind that are started at once or
+// not at all.
+void ClientConnection::report_end() {
+  const TimePoint now = loop_.now();
+  if (!end_seen_at_) end_seen_at_ = now;
+  for (const auto& [id, call] : open_calls_) server_.core_->client_half_closed(now, call, *end_seen_at_);
+}
+
 void ClientConnection::on_end(End end) {
   close_with_reason(is_lingering() ? CloseReason::kGracefulClose : close_reason_of(end));
 }
@@ -298,7 +311,9 @@
   const CallId call_id = server_.next_call_id();
   switch (server_.core_->admit(loop_.now(), call_id, std::move(*request))) {
     case AdmissionResult::kAdmitted:
-      return open_call(call_id, call.id, call.key);
+      open_call(call_id, call.id, call.key);
+      if (end_seen_at_) server_.core_->client_half_closed(loop_.now(), call_id, *end_seen_at_);
+      return;
     case AdmissionResult::kResultFound:
       open_call(call_id, call.id, call.key);
       return server_.answer_paged(call_id, server_.core_->found_result().value());
--- a/src/net/client_connection.h
+++ b/src/net/client_connection.h
@@ -60,6 +60,9 @@
   // Sends an error without an id, fails each open call and closes the connection gracefully.
   void reject_connection(const char* reason);
   void update_partial_message_since();
+  // Looks for the end of the client's stream behind input that waits, and reports it for all open calls.
+  void look_for_end();
+  void report_end();
   // Returns false if more of the skipped message is to come or the connection was rejected.
   bool skip_message();
   void mark_message_received();
@@ -88,7 +91,8 @@
   std::optional<SkippedMessage> skipped_message_;
   std::string peer_address_;              // owner of results that have no key; empty without a result store
   std::map<int64_t, CallId> open_calls_;  // by the client's request id
-  bool is_half_closed_by_peer_ = false;
+  bool is_half_closed_by_peer_ = false;   // all input was read
+  std::optional<TimePoint> end_seen_at_;  // when the end of the stream was seen, maybe behind input
   bool has_sent_message_ = false;
   TimePoint last_active_at_;                        // time of the last complete message or answer
   std::optional<TimePoint> partial_message_since_;  // set while an incomplete message is buffered
--- a/src/net/connection.cpp
+++ b/src/net/connection.cpp
@@ -2,6 +2,7 @@
 
 #include <Poco/NObserver.h>
 #include <Poco/Net/NetException.h>
+#include <poll.h>
 #include <sys/socket.h>
 
 #include <cerrno>
@@ -71,6 +72,12 @@
          (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
+bool Connection::has_peer_ended() const {
+  constexpr short kEnds = POLLRDHUP | POLLHUP | POLLERR;
+  pollfd descriptor{socket_.impl()->sockfd(), POLLRDHUP, 0};
+  return ::poll(&descriptor, 1, 0) > 0 && (descriptor.revents & kEnds) != 0;
+}
+
 void Connection::start_lingering_close() {
   if (!is_open_ || is_lingering_) return;
   is_lingering_ = true;
@@ -170,6 +177,7 @@
   const ssize_t got = ::recv(socket_.impl()->sockfd(), space.data(), space.size(), 0);
   if (got > 0) {
     loop_.mark_active(entry_);
+    may_have_more_input_ = static_cast<size_t>(got) == space.size();
     if (!buffer_input({space.data(), static_cast<size_t>(got)})) return;
     on_bytes();
     if (!is_open_) return;
--- a/src/net/connection.h
+++ b/src/net/connection.h
@@ -51,6 +51,8 @@
   // when the peer closes; until then the descriptor stays open, so the owner must bound the time.
   void start_lingering_close();
   bool is_lingering() const { return is_lingering_; }
+  // The peer has closed its sending direction or the connection, also if unread bytes precede the end.
+  bool has_peer_ended() const;
   bool has_nothing_to_read() const;  // neither unread bytes nor the end of the stream wait in the socket
   void abort();  // close() with a TCP reset: unsent data in the kernel's send buffer is dropped
 
@@ -64,6 +66,8 @@
   virtual bool keeps_half_open() { return false; }  // keep the write side open after the peer's half-close
 
   void drop_input();  // frees the read buffer
+  // The last read took as much as it could, so that more may wait.
+  bool may_have_more_input() const { return may_have_more_input_; }
 
   Loop& loop_;
   proto::ReadBuffer read_buffer_;
@@ -91,7 +95,7 @@
   const bool is_from_client_ = false;
   Loop::Entry entry_;
   bool is_connected_ = false, is_open_ = true, is_reading_ = false, is_writing_ = false;
-  bool was_refused_ = false, is_lingering_ = false;
+  bool was_refused_ = false, is_lingering_ = false, may_have_more_input_ = false;
 };
 
 }  // namespace firvalve::net
--- a/src/policy/events.h
+++ b/src/policy/events.h
@@ -92,6 +92,7 @@
 struct ClientHalfClosed {
   CommandId id;
   bool is_half_closed = true;
+  TimePoint since{};  // when the end was first seen; may precede the command, which was read behind it
 };
 
 // Whether storage is reserved for the rows of a command. A command without this event needs no reservation.
--- a/src/policy/policy.cpp
+++ b/src/policy/policy.cpp
@@ -66,9 +66,9 @@
 
 // A half-close may mean that the client has closed altogether. Attempts in flight may finish and be answered,
 // but no further attempt starts once a grace period has passed (retry.cpp).
-void handle_client_half_closed(State& state, TimePoint now, const ClientHalfClosed& event) {
+void handle_client_half_closed(State& state, const ClientHalfClosed& event) {
   Command* const command = find_command(state, event.id);
-  if (command) command->half_closed_at = event.is_half_closed ? std::optional(now) : std::nullopt;
+  if (command) command->half_closed_at = event.is_half_closed ? std::optional(event.since) : std::nullopt;
 }
 
 void handle_result_reservation(State& state, const ResultReservation& event) {
@@ -90,7 +90,7 @@
   void operator()(const AttemptFinished& event) const { handle_attempt_finished(state, now, event); }
   void operator()(const ProbeResult&) const {}
   void operator()(const ClientGone& event) const { handle_client_gone(state, event); }
-  void operator()(const ClientHalfClosed& event) const { handle_client_half_closed(state, now, event); }
+  void operator()(const ClientHalfClosed& event) const { handle_client_half_closed(state, event); }
   void operator()(const TimerFired&) const { handle_timer_fired(state, now); }
   void operator()(const ShutdownStarted& event) const { state.shutdown_at = event.ends_at; }
   void operator()(const ResultReservation& event) const { handle_result_reservation(state, event); }
--- a/tests/core/core_test.cpp
+++ b/tests/core/core_test.cpp
@@ -77,11 +77,22 @@
   EXPECT_EQ(metrics.counts["commands ended unserved: deadline exceeded"], 1u);
 }
 
+// Guards against requests of a client that has left: they were started when they were read long after its
+// end.
+TEST_F(CoreTest, CommandReadLongAfterItsClientsEndIsShed) {
+  list_engine("s-1");
+  admit(1);
+  core.client_half_closed(time_point_of(1000), CallId{1}, time_point_of(900));
+  core.decide(time_point_of(1005));
+  EXPECT_TRUE(recorder.started.empty());
+  EXPECT_EQ(recorder.responses, std::vector<std::string>{"shed 1"});
+}
+
 // For a short time a half-closed client's command is treated like any other. After that no attempt starts any
 // more, and the client gets a response that says so.
 TEST_F(CoreTest, HalfClosedClientsCommandStartsSoonOrIsShed) {
   admit(1);
-  core.client_half_closed(time_point_of(1000), CallId{1});
+  core.client_half_closed(time_point_of(1000), CallId{1}, time_point_of(1000));
   core.decide(time_point_of(1005));
   EXPECT_TRUE(recorder.responses.empty());  // no engine yet, and the client may still be connected
   core.decide(time_point_of(1060));
@@ -90,7 +101,7 @@
   core.decide(time_point_of(1100));
   EXPECT_TRUE(recorder.started.empty());
   admit(2, "000000000000000b");
-  core.client_half_closed(time_point_of(1110), CallId{2});
+  core.client_half_closed(time_point_of(1110), CallId{2}, time_point_of(1110));
   core.decide(time_point_of(1110));
   ASSERT_EQ(recorder.started.size(), 1u);
   EXPECT_TRUE(core.may_start_attempt(time_point_of(1120), AttemptId{1}));
--- a/tests/core/retries_test.cpp
+++ b/tests/core/retries_test.cpp
@@ -56,7 +56,7 @@
 TEST_F(CoreRetries, JoiningRetryKeepsAHalfClosedClientsCommandWaiting) {
   list_engine("s-1", EngineState::kDraining);
   EXPECT_EQ(admit(1, kFirst), AdmissionResult::kAdmitted);
-  core.client_half_closed(time_point_of(1000), CallId{1});
+  core.client_half_closed(time_point_of(1000), CallId{1}, time_point_of(1000));
   EXPECT_EQ(retry(2, kSecond, kFirst), AdmissionResult::kAdmitted);
   core.decide(time_point_of(1100));
   EXPECT_TRUE(recorder.responses.empty());
--- a/tests/net/loop_test.cpp
+++ b/tests/net/loop_test.cpp
@@ -92,6 +92,16 @@
   EXPECT_FALSE(stranger.is_open());
 }
 
+// Guards against requests of a client that has left: its end was noticed only behind all that it had sent.
+TEST_F(LoopTest, EndOfThePeersStreamIsSeenBehindUnreadBytes) {
+  const auto& ended = add_connection(Connection::Kind::kClient, false, 1000);
+  peers_.back().shutdownSend();
+  const auto& open = add_connection(Connection::Kind::kClient, false, 1000);
+  EXPECT_TRUE(ended.has_peer_ended());
+  EXPECT_FALSE(open.has_peer_ended());
+  EXPECT_FALSE(ended.has_nothing_to_read());
+}
+
 // Guards against memory that grows while a peer reads all that it is sent, but never empties the buffer.
 TEST_F(LoopTest, SentBytesAreFreedWhileOthersWait) {
   constexpr size_t kUnsentBytes = 1000000, kTotalBytes = size_t{50} * kUnsentBytes;
