One client's messages that open no call are limited in their rate

Cause: nothing bounds messages that are answered at once. A connection was read 16 kB a turn, some 650 messages, and the loop took the whole core for it. Here others wait 10 ms more a request (21 to 32 ms); on a tenth of a core it is ten times that, and a limit on processor time stops the process for all. Change: a token bucket per connection (policy/message_rate_limit): 128 at once, 1,000 a second, long messages more. Above it the connection is not read for 20 ms or more; all input is handled when the gateway shuts down. Input that waits counts as unread for evictions, idle closes and the exit.

--- a/src/net/client_connection.cpp
+++ b/src/net/client_connection.cpp
@@ -82,7 +82,7 @@
     return reject_connection("no message");
   if (unsent_bytes() > kMaxUnsentBytes) look_for_end();  // nothing is read until the client reads
   // Input that has already arrived is handled first.
-  if (open_calls_.empty() && now - last_active_at_ > proto::kRpcIdleTimeout && has_nothing_to_read())
+  if (open_calls_.empty() && now - last_active_at_ > proto::kRpcIdleTimeout && is_input_handled())
     start_graceful_close();
 }
 
@@ -122,6 +122,7 @@
 }
 
 void ClientConnection::on_bytes() {
+  if (handles_input_at_) return;
   if (may_have_more_input()) look_for_end();
   if (skipped_message_ && !skip_message()) return;
   std::span<char> message;
@@ -129,6 +130,7 @@
     // Guards the memory limit against a client that sends but does not read: its requests stay in the
     // kernel's receive buffer.
     if (unsent_bytes() > kMaxUnsentBytes) return set_reading(false);
+    if (must_wait()) return set_reading(false);
     const proto::ReadResult read = frames_.next(read_buffer_, message);
     if (read == proto::ReadResult::kIncomplete) return update_partial_message_since();
     if (read == proto::ReadResult::kMalformed) return reject_connection("broken framing");
@@ -138,6 +140,23 @@
   }
 }
 
+// All input is handled at once while the gateway shuts down.
+bool ClientConnection::must_wait() {
+  if (server_.is_listener_closed_) return false;
+  handles_input_at_ = rate_limit_.wait_until(loop_.now());
+  if (!handles_input_at_) return false;
+  server_.resume_input_at(*this, *handles_input_at_);
+  return true;
+}
+
+void ClientConnection::resume_input() {
+  handles_input_at_.reset();
+  if (!is_open() || is_lingering()) return;
+  if (!is_half_closed_by_peer_) set_reading(true);
+  look_for_end();
+  if (!read_buffer_.text().empty()) on_bytes();
+}
+
 void ClientConnection::update_partial_message_since() {
   const bool is_partial = skipped_message_ || frames_.is_in_message() || !read_buffer_.text().empty();
   if (!is_partial)
@@ -147,6 +166,7 @@
 }
 
 void ClientConnection::on_written() {
+  if (handles_input_at_) return;
   if (!is_half_closed_by_peer_) set_reading(true);
   if (!read_buffer_.text().empty()) on_bytes();
   if (is_open() && !is_lingering()) handle_answer_written();
@@ -179,6 +199,7 @@
 
 void ClientConnection::handle_message(std::span<char> message) {
   using Kind = proto::RpcCall::Kind;
+  const size_t open_calls_before = open_calls_.size();
   proto::RpcCall call = proto::read_call(message);
   std::string out;
   switch (call.kind) {
@@ -207,6 +228,7 @@
       reject_call(call, out, call.error_code, call.error_message);
       break;
   }
+  if (open_calls_.size() <= open_calls_before) rate_limit_.count(loop_.now(), message.size());
   if (!out.empty()) write(out);
 }
 
--- a/src/net/client_connection.h
+++ b/src/net/client_connection.h
@@ -11,6 +11,7 @@
 
 #include "net/client_server.h"
 #include "net/connection.h"
+#include "policy/message_rate_limit.h"
 #include "proto/jsonrpc/rpc.h"
 
 namespace firvalve::net {
@@ -23,7 +24,7 @@
   // a TCP reset.
   bool is_evictable() const override {
     if (unsent_bytes() > 0) return false;
-    return is_lingering() || (open_calls_.empty() && has_nothing_to_read());
+    return is_lingering() || (open_calls_.empty() && is_input_handled());
   }
   void evict(EvictionReason reason) override;
   bool is_receiving_message() const override { return !is_lingering() && partial_message_since_; }
@@ -32,6 +33,10 @@
   }
   void discard_incomplete_message() override;
 
+  // All that has arrived was handled.
+  bool is_input_handled() const { return !handles_input_at_ && has_nothing_to_read(); }
+  // Handles the input that has waited for the rate limit.
+  void resume_input();
   bool has_open_calls() const { return !open_calls_.empty(); }
   void add_call(int64_t id, CallId call) { open_calls_[id] = call; }
   void remove_call(int64_t id) { open_calls_.erase(id); }
@@ -60,6 +65,8 @@
   // Sends an error without an id, fails each open call and closes the connection gracefully.
   void reject_connection(const char* reason);
   void update_partial_message_since();
+  // Returns true if the next message must wait for the rate limit.
+  bool must_wait();
   // Looks for the end of the client's stream behind input that waits, and reports it for all open calls.
   void look_for_end();
   void report_end();
@@ -92,7 +99,9 @@
   std::string peer_address_;              // owner of results that have no key; empty without a result store
   std::map<int64_t, CallId> open_calls_;  // by the client's request id
   bool is_half_closed_by_peer_ = false;   // all input was read
-  std::optional<TimePoint> end_seen_at_;  // when the end of the stream was seen, maybe behind input
+  MessageRateLimit rate_limit_;
+  std::optional<TimePoint> handles_input_at_;  // set while input waits for the rate limit
+  std::optional<TimePoint> end_seen_at_;       // when the end of the stream was seen, maybe behind input
   bool has_sent_message_ = false;
   TimePoint last_active_at_;                        // time of the last complete message or answer
   std::optional<TimePoint> partial_message_since_;  // set while an incomplete message is buffered
--- a/src/net/client_server.cpp
+++ b/src/net/client_server.cpp
@@ -32,7 +32,22 @@
   metrics_.add("client connections");
 }
 
+std::optional<TimePoint> ClientServer::next_due() const {
+  std::optional<TimePoint> due = next_check_at_;
+  for (const auto& [connection, time] : waiting_) due = earlier_of<TimePoint>(due, time);
+  return due;
+}
+
+void ClientServer::resume_waiting(TimePoint now) {
+  std::vector<ClientConnection*> due;
+  for (const auto& [connection, time] : waiting_)
+    if (time <= now) due.push_back(connection);
+  for (ClientConnection* const connection : due)
+    if (waiting_.erase(connection) > 0) connection->resume_input();  // else closed by now
+}
+
 void ClientServer::run_due(TimePoint now) {
+  resume_waiting(now);
   if (next_check_at_ && now < *next_check_at_) return;
   next_check_at_ = now + kCheckInterval;
   std::vector<ClientConnection*> connections;
@@ -50,10 +65,11 @@
     accept_all_pending();
     listener_.close();
     is_listener_closed_ = true;
+    resume_waiting(TimePoint::max());
   }
   bool are_all_lingering = true;
   for (const auto& [key, connection] : connections_) {
-    if (!connection->is_lingering() && !connection->has_open_calls() && connection->has_nothing_to_read())
+    if (!connection->is_lingering() && !connection->has_open_calls() && connection->is_input_handled())
       connection->start_graceful_close();
     are_all_lingering &= connection->is_lingering();
   }
@@ -85,6 +101,7 @@
   if (open_calls > 0) metrics_.add("calls closed without an answer:", name_of(reason), open_calls);
   if (observer_) observer_(loop_.now(), {reason, {}, open_calls});
   loop_.destroy_after_turn(std::move(at->second));
+  waiting_.erase(&connection);
   connections_.erase(at);
 }
 
--- a/src/net/client_server.h
+++ b/src/net/client_server.h
@@ -35,7 +35,7 @@
   void listen(const std::string& address, Core& core);
 
   void run_due(TimePoint now);  // closes connections that have timed out, and resumes accepting
-  std::optional<TimePoint> next_due() const { return next_check_at_; }
+  std::optional<TimePoint> next_due() const;
   size_t unsent_bytes() const;  // bytes of answers that were not handed to the kernel yet
   // For the shutdown, after all accepted calls were answered: stops listening and closes the connections.
   // Must be called each turn until it returns true: then no connection can lose data by the exit.
@@ -68,6 +68,9 @@
   void reply(CallId call, const ClusterRequests::Reply& cluster_reply);
   void handle_client_gone(TimePoint now, CallId call);
   void remove_connection(ClientConnection& connection, CloseReason reason, size_t open_calls);
+  // Calls ClientConnection::resume_input() at the time.
+  void resume_input_at(ClientConnection& connection, TimePoint time) { waiting_[&connection] = time; }
+  void resume_waiting(TimePoint now);
 
   Loop& loop_;
   Metrics& metrics_;
@@ -79,6 +82,7 @@
   bool reads_retry_markers_ = false, is_listener_closed_ = false;
   std::optional<TimePoint> next_check_at_, all_lingering_since_;
   std::map<ClientConnection*, std::unique_ptr<ClientConnection>> connections_;
+  std::map<ClientConnection*, TimePoint> waiting_;  // for the rate limit, with the time when each goes on
   std::map<CallId, OpenCall> open_calls_;
   CallId last_call_{};
 };
--- a/tests/gateway/lifecycle_faults_test.cpp
+++ b/tests/gateway/lifecycle_faults_test.cpp
@@ -55,6 +55,21 @@
   EXPECT_EQ(engine_.runs(statement), 1);
 }
 
+// Guards against requests that are sent on long after their client has closed, because much before them was
+// unread.
+TEST_F(LifecycleFaults, RequestBehindUnreadInputOfClosedClientIsNotSent) {
+  start(deployment_.config(address_));
+  {
+    RawClient left(address_);
+    std::string bytes;
+    for (int i = 0; i < 1000; ++i)
+      bytes += framed(R"({"jsonrpc":"2.0","method":"revoke","params":{"id":99}})");
+    left.send_bytes(bytes + framed(command_request(1, "select 1")));
+  }
+  ASSERT_TRUE(logs_soon("commands ended unserved: client gone: 1"));
+  EXPECT_EQ(engine_.runs("select 1"), 0);
+}
+
 // An id that comes again after its client has left must not run twice: each client gets an error that does
 // not advise it to try again.
 TEST_F(LifecycleFaults, NonReplayableIdIsNotRunAgainAfterItsClientHasLeft) {
--- a/tests/gateway/logged_gateway_fixture.h
+++ b/tests/gateway/logged_gateway_fixture.h
@@ -12,6 +12,7 @@
 
 #include <algorithm>
 #include <cerrno>
+#include <chrono>
 #include <cstdio>
 #include <fstream>
 #include <memory>
@@ -56,6 +57,20 @@
   void send_bytes(const std::string& bytes) {
     socket_.sendBytes(bytes.data(), static_cast<int>(bytes.size()));
   }
+  // Stops at the time, also if the gateway does not read.
+  void send_bytes_until(const std::string& bytes, std::chrono::steady_clock::time_point until) {
+    size_t sent = 0;
+    while (sent < bytes.size() && std::chrono::steady_clock::now() < until) {
+      const ssize_t count = ::send(socket_.impl()->sockfd(), bytes.data() + sent, bytes.size() - sent,
+                                   MSG_NOSIGNAL | MSG_DONTWAIT);
+      if (count > 0)
+        sent += static_cast<size_t>(count);
+      else if (errno == EAGAIN)
+        ::usleep(1000);
+      else
+        return;
+    }
+  }
   void send(const std::string& body) { send_bytes(framed(body)); }
   std::string exchange(const std::string& body) {
     send(body);
