--- a/tests/gateway/flood_test.cpp
+++ b/tests/gateway/flood_test.cpp
@@ -43,7 +43,7 @@
      [](int number) {
        return framed(command_request(number, "select 1", 4000, "load")) + framed(revoke_of(number));
      }},
-    {"ManyFields", [](int) { return framed("[" + std::string(100000, '[')); }},
+    {"ManyFields", [](int) { return framed(std::string(100001, '[')); }},
 };
 
 class Flood : public LoggedGateway, public testing::WithParamInterface<FloodKind> {
--- a/tests/gateway/lifecycle_faults_test.cpp
+++ b/tests/gateway/lifecycle_faults_test.cpp
@@ -55,6 +55,30 @@
   EXPECT_EQ(engine_.runs(statement), 1);
 }
 
+// A new process that is listed at the address of one that has gone must not be taken for it: what may have
+// run there is not started here, and nothing is awaited here that was started there.
+TEST_F(LifecycleFaults, NewEngineAtTheAddressOfOneThatIsGoneIsNotTakenForIt) {
+  start(replace_first(deployment_.config(address_), R"("try_limit":1)", R"("try_limit":3)"));
+  const std::string load = "insert into a_1.b values (1) /*! delay=400 */";
+  const std::string lookup = "select 1 /*! delay=400 */";
+  RawClient client(address_);
+  client.send(command_request(1, load, 20000, "load"));
+  client.send(command_request(2, lookup, 20000, "report"));
+  ASSERT_TRUE(soon([&] { return engine_.runs(load) == 1 && engine_.runs(lookup) == 1; }));
+  engine_.kill();
+  fakes::FakeEngine next(deployment_.host(), {}, engine_.address());
+  deployment_.bus().announce(fakes::listing(deployment_.name_of(0), engine_.address(), "DELETED") + "," +
+                             fakes::listing("s-0000ffff", engine_.address(), "SERVING"));
+  std::string answers = client.read_answer();
+  answers += client.read_answer();
+  EXPECT_TRUE(contains(answers, R"("id":1,"error":{"code":-32000)")) << answers;
+  EXPECT_TRUE(contains(answers, R"("id":2,"result")")) << answers;
+  EXPECT_EQ(next.runs(load), 0);
+  EXPECT_EQ(next.runs(lookup), 1);
+  EXPECT_TRUE(contains(client.exchange(command_request(3, "select 3")), R"("result")"));
+  EXPECT_EQ(next.runs("select 3"), 1);
+}
+
 // Guards against requests that are sent on long after their client has closed, because much before them was
 // unread.
 TEST_F(LifecycleFaults, RequestBehindUnreadInputOfClosedClientIsNotSent) {
--- a/tests/gateway/process_memory_test.cpp
+++ b/tests/gateway/process_memory_test.cpp
@@ -4,16 +4,15 @@
 
 #include <gtest/gtest.h>
 #include <signal.h>
-#include <sys/socket.h>
 #include <unistd.h>
 
 #include <algorithm>
-#include <cerrno>
 #include <chrono>
 #include <memory>
 #include <string>
 #include <vector>
 
+#include "gateway/crowd.h"
 #include "gateway/logged_gateway_fixture.h"
 
 namespace firvalve {
@@ -25,43 +24,6 @@
 constexpr size_t kLargeStatementBytes = 95000;  // 126 kB as a message
 constexpr const char* kUnansweredStatement = "select 1 /*! silent */";
 
-// Many clients that write without waiting, each a text of its own or one that all share.
-class Crowd {
- public:
-  Crowd(const std::string& address, size_t count) {
-    const SocketAddress to(address);
-    while (sockets_.size() < count) {
-      StreamSocket socket(SocketAddress::IPv4);
-      socket.connect(to, Poco::Timespan(10, 0));
-      socket.setBlocking(false);
-      sockets_.push_back(std::move(socket));
-    }
-  }
-  // Writes the texts in turns of at most `piece` bytes a client, until all is written or the time is over.
-  void write(const std::vector<std::string>& texts, size_t piece, std::chrono::milliseconds time) {
-    std::vector<size_t> written(sockets_.size());
-    const auto until = std::chrono::steady_clock::now() + time;
-    bool is_complete = false;
-    while (!is_complete && std::chrono::steady_clock::now() < until) {
-      is_complete = true;
-      for (size_t i = 0; i < sockets_.size(); ++i) {
-        const std::string& text = texts[i % texts.size()];
-        if (written[i] == text.size()) continue;
-        const ssize_t sent = ::send(sockets_[i].impl()->sockfd(), text.data() + written[i],
-                                    std::min(piece, text.size() - written[i]), MSG_NOSIGNAL);
-        if (sent > 0)
-          written[i] += static_cast<size_t>(sent);
-        else if (errno != EAGAIN)
-          written[i] = text.size();  // the gateway has closed the connection
-        is_complete &= written[i] == text.size();
-      }
-    }
-  }
-
- private:
-  std::vector<StreamSocket> sockets_;
-};
-
 // The parameter is the limit in MB.
 class ProcessMemoryLimit : public LoggedGateway, public testing::WithParamInterface<int> {
  protected:
@@ -123,6 +85,21 @@
   expect_within_limit();
 }
 
+// Nobody reads the answers, of 44 kB each.
+TEST_P(ProcessMemoryLimit, HoldsWhenClientsDoNotReadLargeAnswers) {
+  constexpr int kOpenCalls = 8;
+  std::vector<std::string> texts(kClients);
+  for (int i = 0; i < static_cast<int>(kClients) * kOpenCalls; ++i)
+    texts[static_cast<size_t>(i) / kOpenCalls] +=
+        framed(command_request(i + 1, "select 1 /*! pages=8 rows=50 row-bytes=100 */"));
+  Crowd crowd(address_, kClients);
+  crowd.write(texts, texts[0].size(), std::chrono::milliseconds(4000));
+  ::usleep(3000000);  // the answers arrive
+  RawClient usual(address_);
+  EXPECT_TRUE(contains(usual.exchange(kHeartbeat), "healthy"));
+  expect_within_limit();
+}
+
 // A text whose parsed form is many times its size.
 TEST_P(ProcessMemoryLimit, HoldsWhenClientsSendManySmallOrNestedFields) {
   std::string nested = std::string(60000, '[') + std::string(60000, ']');
