The number of a removed engine is not given to another name at once

Cause: by reading, then shown by a unit test: EngineDirectory freed an engine's number with its removal. Another engine whose name ends in the same eight digits got it while attempts of the old one were still polled and cancelled under that number (at the new one's address), a connect to the old one under way would have written its start (the number counts as serving again), and the policy's learned state of the old one was used for the new. Evidence: EngineDirectory.NumberOfARemovedEngineGoesToNoOtherNameForLong fails on the text before. The last line of NamesNeverShareANumber asserted the fault, that the number goes to a new name right after the removal; the new test has it after 1,024 further removals, and that the old name keeps it, which is stricter. Names with different digits, as in our deployments, were never affected. Change: a number stays with its name while the name is among the last 1,024 removed. Memory is bounded by that.

--- a/src/core/engine_directory.cpp
+++ b/src/core/engine_directory.cpp
@@ -1,5 +1,7 @@
 #include "core/engine_directory.h"
 
+#include <utility>
+
 namespace firvalve {
 namespace {
 
@@ -18,6 +20,7 @@
 }  // namespace
 
 EngineId EngineDirectory::number_of(const std::string& name) {
+  last_removal_.erase(name);
   const auto known = numbers_.find(name);
   if (known != numbers_.end()) return known->second;
   uint32_t number = preferred_number(name);
@@ -27,7 +30,20 @@
 
 void EngineDirectory::remove(EngineId engine, const std::string& name) {
   names_.erase(engine);
-  release_number(name);
+  retire_number(name);
+}
+
+void EngineDirectory::retire_number(const std::string& name) {
+  last_removal_[name] = ++removal_count_;
+  removals_.push_back({name, removal_count_});
+  while (removals_.size() > kMaxRemoved) {
+    const Removal oldest = std::move(removals_.front());
+    removals_.pop_front();
+    const auto last = last_removal_.find(oldest.name);
+    if (last == last_removal_.end() || last->second != oldest.number) continue;  // listed again since
+    last_removal_.erase(last);
+    release_number(oldest.name);
+  }
 }
 
 void EngineDirectory::release_number(const std::string& name) {
--- a/tests/core/engine_directory_test.cpp
+++ b/tests/core/engine_directory_test.cpp
@@ -3,6 +3,7 @@
 
 #include <gtest/gtest.h>
 
+#include <string>
 #include <vector>
 
 namespace firvalve {
@@ -27,8 +28,23 @@
   EngineDirectory directory;
   EXPECT_EQ(directory.number_of("a-00000007"), EngineId{7});
   EXPECT_EQ(directory.number_of("b-00000007"), EngineId{8});
+}
+
+// Guards against a new engine that is taken for one that has gone, whose attempts are still awaited.
+TEST(EngineDirectory, NumberOfARemovedEngineGoesToNoOtherNameForLong) {
+  EngineDirectory directory;
+  EXPECT_EQ(directory.number_of("a-00000007"), EngineId{7});
+  directory.remove(EngineId{7}, "a-00000007");
+  EXPECT_EQ(directory.number_of("c-00000007"), EngineId{8});
+  EXPECT_EQ(directory.number_of("a-00000007"), EngineId{7});  // listed again
   directory.remove(EngineId{7}, "a-00000007");
-  EXPECT_EQ(directory.number_of("c-00000007"), EngineId{7});
+  for (uint32_t i = 0; i < EngineDirectory::kMaxRemoved; ++i) {
+    const std::string name = std::to_string(i) + "-00000007";
+    const EngineId number = directory.number_of(name);
+    EXPECT_NE(number, EngineId{7}) << i;
+    directory.remove(number, name);
+  }
+  EXPECT_EQ(directory.number_of("e-00000007"), EngineId{7});
 }
 
 TEST(EngineDirectory, CompleteListRemovesTheOtherEngines) {
