Memory limit: calls that join a pending command count, too

It needs clients.marks, which is off by default. Cause: a marked retry that joins its pending command takes some 250 bytes in three maps and counted towards no limit, 32 a connection. Change: each joined call counts with 256 bytes; one beyond the limit is handled as a new command, which the limit then refuses. Result: PendingCommands.JoinedCallsCountAgainstTheLimit; by reading and this test alone, not played with clients.

--- a/src/core/core.cpp
+++ b/src/core/core.cpp
@@ -89,7 +89,7 @@
 // answer anyway.
 bool Core::join_pending(TimePoint now, CallId call, const CommandRequest& request, int profile) {
   PendingCommand* const command = commands_.find_in_chain(command_id_of(request.retry_of));
-  if (!command) return false;
+  if (!command || !commands_.has_capacity_for_call()) return false;
   if (command->profile != profile || command->statement != request.statement) return false;
   if (command->paged != results_.applies_to(request) || command->result_key != request.result_key)
     return false;
--- a/src/core/pending_commands.cpp
+++ b/src/core/pending_commands.cpp
@@ -37,6 +37,7 @@
 
 void PendingCommands::add_call(PendingCommand& command, CallId call) {
   command.joined_retries.push_back(call);
+  ++joined_calls_;
   calls_[call] = {&command};
 }
 
@@ -52,6 +53,7 @@
   } else {
     std::erase(command.joined_retries, call);
   }
+  --joined_calls_;
   calls_.erase(call);
 }
 
@@ -88,6 +90,7 @@
 void PendingCommands::finish(PendingCommand& command) {
   command.for_each_call([&](CallId call) { calls_.erase(call); });
   command.call.reset();
+  joined_calls_ -= command.joined_retries.size();
   command.joined_retries.clear();
   const auto chain = retry_chains_.find(command.retry_chain);
   if (chain != retry_chains_.end() && chain->second == &command) retry_chains_.erase(chain);
--- a/src/core/pending_commands.h
+++ b/src/core/pending_commands.h
@@ -60,13 +60,18 @@
   // What one command takes besides its statement: its records here, in the policy and at its client's
   // connection.
   static constexpr size_t kRecordBytes = 1024;
+  static constexpr size_t kJoinedCallBytes = 256;  // the same for each further call that waits for it
 
   void set_max_bytes(size_t bytes) { max_bytes_ = bytes; }
   bool has_capacity_for(const std::string& statement) const {
     return bytes() + kRecordBytes + statement.size() <= max_bytes_;
   }
+  // Whether one more call may join a command.
+  bool has_capacity_for_call() const { return bytes() + kJoinedCallBytes <= max_bytes_; }
   // Memory of all commands until they are erased.
-  size_t bytes() const { return commands_.size() * kRecordBytes + statement_bytes_; }
+  size_t bytes() const {
+    return commands_.size() * kRecordBytes + joined_calls_ * kJoinedCallBytes + statement_bytes_;
+  }
 
   // Returns null if a command with that id is pending.
   PendingCommand* add(const CommandId& id, CallId call, const CommandId& retry_chain, std::string statement);
@@ -117,7 +122,7 @@
   std::map<AttemptId, PendingCommand*> attempts_;
   std::vector<CommandId> released_;
   AttemptId last_attempt_{};
-  size_t max_bytes_ = SIZE_MAX, statement_bytes_ = 0;
+  size_t max_bytes_ = SIZE_MAX, statement_bytes_ = 0, joined_calls_ = 0;
 };
 
 }  // namespace firvalve
--- a/tests/core/pending_commands_test.cpp
+++ b/tests/core/pending_commands_test.cpp
@@ -55,6 +55,21 @@
   EXPECT_EQ(commands.bytes(), 0u);
 }
 
+TEST(PendingCommands, JoinedCallsCountAgainstTheLimit) {
+  PendingCommands commands;
+  commands.set_max_bytes(PendingCommands::kRecordBytes + 2 * PendingCommands::kJoinedCallBytes);
+  PendingCommand& command = *commands.add(kOne, CallId{1}, kOne, "");
+  for (uint64_t call = 2; call <= 3; ++call) {
+    EXPECT_TRUE(commands.has_capacity_for_call());
+    commands.add_call(command, CallId{call});
+  }
+  EXPECT_FALSE(commands.has_capacity_for_call());
+  commands.remove_call(command, CallId{1});
+  EXPECT_TRUE(commands.has_capacity_for_call());
+  commands.finish(command);
+  EXPECT_EQ(commands.bytes(), PendingCommands::kRecordBytes);
+}
+
 TEST(PendingCommands, RetryChainLeadsToItsLatestUnfinishedCommand) {
   PendingCommands commands;
   PendingCommand& first = *commands.add(kOne, CallId{1}, kOne, "select 1");
