Memory limit: requests that wait in the cluster are bounded

Cause: a run-once job, or a change of a topic, is kept with its statement or parameters until the cluster agrees, outside of the commands that count.

--- a/src/fakes/gateway_cluster.cpp
+++ b/src/fakes/gateway_cluster.cpp
@@ -89,7 +89,7 @@
     member.process->start();
   else
     member.process =
-        std::make_unique<Process>(program_, engines_.config(member.clients),
+        std::make_unique<Process>(program_, engines_.config(member.clients, options_.memory_mb),
                                   std::vector<std::string>{"--operator", operator_file(i)}, member.log);
   member.up = true;
 }
--- a/src/fakes/gateway_cluster.h
+++ b/src/fakes/gateway_cluster.h
@@ -22,6 +22,7 @@
   bool folders = true;  // each acceptor stores its state on disk
   std::vector<std::string> duties = {"trial:a"};
   uint64_t seed = 1;
+  int memory_mb = 192;  // the limit of each gateway
 };
 
 // Owns the processes; the destructor kills them and deletes their files.
--- a/src/gateway/memory_shares.h
+++ b/src/gateway/memory_shares.h
@@ -13,9 +13,10 @@
 
 // The most that each part may take.
 struct MemoryShares {
-  size_t buffer_bytes = 0;    // buffers of all connections
-  size_t command_bytes = 0;   // pending commands with their statements
-  size_t register_bytes = 0;  // a replica's registers
+  size_t buffer_bytes = 0;           // buffers of all connections
+  size_t command_bytes = 0;          // pending commands with their statements
+  size_t register_bytes = 0;         // a replica's registers
+  size_t cluster_request_bytes = 0;  // requests that wait for the cluster's agreement
 };
 
 // Divides what is left of the limit. A part of it stays free, for rows that are being received and for what
--- a/src/gateway/serve.cpp
+++ b/src/gateway/serve.cpp
@@ -149,6 +149,7 @@
   if (cluster) {
     cluster->set_core(core);
     clients.set_cluster(*cluster);
+    clients.set_max_held_bytes(memory.cluster_request_bytes);
   }
 
   ResultStoreWiring result_store_wiring(operator_config.paged_results, loop, metrics, event_log);
--- a/src/net/client_connection.cpp
+++ b/src/net/client_connection.cpp
@@ -15,6 +15,8 @@
 // How long a lingering close waits for the client's end of the stream. The close of a rejected client must be
 // complete within 3 s.
 constexpr Duration kMaxLinger = 500ms;
+// What a request takes that waits in the cluster: its records, and a topic's change once it is decoded.
+constexpr size_t kRecordBytes = 1024, kBytesPerParameterByte = 4;
 
 }  // namespace
 
@@ -34,7 +36,7 @@
 void ClientConnection::cancel_open_calls() {
   const TimePoint now = loop_.now();
   for (const auto& [id, call] : open_calls_) {
-    server_.open_calls_.erase(call);
+    server_.forget_call(call);
     server_.handle_client_gone(now, call);
   }
   open_calls_.clear();
@@ -255,9 +257,9 @@
   return true;
 }
 
-void ClientConnection::open_call(CallId call, int64_t id, std::string_view key) {
+void ClientConnection::open_call(CallId call, int64_t id, std::string_view key, size_t held_bytes) {
   add_call(id, call);
-  server_.open_calls_[call] = {this, id, std::string(key)};
+  server_.open_calls_[call] = {this, id, std::string(key), held_bytes};
 }
 
 // Revokes only calls of this connection: a client cannot revoke another client's command.
@@ -286,11 +288,24 @@
 
 void ClientConnection::handle_topic(const proto::RpcCall& request, std::string& out) {
   if (!is_cluster_call_valid(request, out) || !can_open_call(request, out)) return;
+  // Held until the cluster replies, also if the call was closed before.
+  const size_t bytes = kRecordBytes + kBytesPerParameterByte * request.statement.size();
+  if (!can_hold(request, out, bytes)) return;
   const CallId call = server_.next_call_id();
   open_call(call, request.id);
   server_.cluster_->handle_topic_request(
       loop_.now(), request.profile, request.name, request.statement, request.timeout,
-      [&server = server_, call](const ClusterRequests::Reply& reply) { server.reply(call, reply); });
+      [&server = server_, call, bytes](const ClusterRequests::Reply& reply) {
+        server.release_bytes(bytes);
+        server.reply(call, reply);
+      });
+}
+
+bool ClientConnection::can_hold(const proto::RpcCall& call, std::string& out, size_t bytes) {
+  if (server_.hold_bytes(bytes)) return true;
+  server_.metrics_.add("calls rejected: out of memory");
+  proto::append_error(out, call.id, true, proto::kRpcFailed, "failed");
+  return false;
 }
 
 std::optional<CommandRequest> ClientConnection::make_command_request(proto::RpcCall& call, std::string& out) {
@@ -321,8 +336,10 @@
   if (!is_cluster_call_valid(call, out) || !can_open_call(call, out)) return;
   std::optional<CommandRequest> request = make_command_request(call, out);
   if (!request) return;
+  const size_t bytes = kRecordBytes + request->statement.size();
+  if (!can_hold(call, out, bytes)) return;
   const CallId call_id = server_.next_call_id();
-  open_call(call_id, call.id);
+  open_call(call_id, call.id, {}, bytes);
   server_.cluster_->run_once_job(loop_.now(), call_id, call.name, std::move(*request));
 }
 
--- a/src/net/client_connection.h
+++ b/src/net/client_connection.h
@@ -91,7 +91,9 @@
   bool is_cluster_call_valid(const proto::RpcCall& call, std::string& out);
   // Empty: the call was answered with an error.
   std::optional<CommandRequest> make_command_request(proto::RpcCall& call, std::string& out);
-  void open_call(CallId call, int64_t id, std::string_view key = {});
+  void open_call(CallId call, int64_t id, std::string_view key = {}, size_t held_bytes = 0);
+  // Returns false if the call was answered with an error, since there is no memory for what it holds.
+  bool can_hold(const proto::RpcCall& call, std::string& out, size_t bytes);
 
   ClientServer& server_;
   proto::RpcFrames frames_;
--- a/src/net/client_server.cpp
+++ b/src/net/client_server.cpp
@@ -115,10 +115,23 @@
   if (at == open_calls_.end()) return std::nullopt;
   const ClosedCall closed{at->second.connection, at->second.id};
   closed.connection->remove_call(closed.id);
-  open_calls_.erase(at);
+  forget_call(call);
   return closed;
 }
 
+bool ClientServer::hold_bytes(size_t bytes) {
+  if (held_bytes_ + bytes > max_held_bytes_) return false;
+  held_bytes_ += bytes;
+  return true;
+}
+
+void ClientServer::forget_call(CallId call) {
+  const auto at = open_calls_.find(call);
+  if (at == open_calls_.end()) return;
+  release_bytes(at->second.held_bytes);
+  open_calls_.erase(at);
+}
+
 void ClientServer::reply(CallId call, const AppendReply& append) {
   const std::optional<ClosedCall> closed = close_call(call);
   if (!closed) return;
--- a/src/net/client_server.h
+++ b/src/net/client_server.h
@@ -1,6 +1,7 @@
 // The client-facing server: the listener, the client connections, and their open calls.
 #pragma once
 
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
@@ -28,6 +29,8 @@
   // Must be called before listen(). The arguments must outlive this object.
   void set_result_store(ResultStore& result_store) { result_store_ = &result_store; }
   void set_cluster(ClusterRequests& cluster) { cluster_ = &cluster; }
+  // Limits the memory of requests that wait in the cluster; one that would exceed it is rejected.
+  void set_max_held_bytes(size_t bytes) { max_held_bytes_ = bytes; }
   void observe(ConnectionObserver observer) { observer_ = std::move(observer); }
   // Whether the retry markers of commands are read, as set in the operator's file.
   void set_reads_retry_markers(bool on) { reads_retry_markers_ = on; }
@@ -51,8 +54,9 @@
 
   struct OpenCall {
     ClientConnection* connection = nullptr;
-    int64_t id = 0;   // the client's request id
-    std::string key;  // the key to which the pages of the result are bound
+    int64_t id = 0;         // the client's request id
+    std::string key;        // the key to which the pages of the result are bound
+    size_t held_bytes = 0;  // as reserved by hold_bytes()
   };
   struct ClosedCall {
     ClientConnection* connection = nullptr;
@@ -63,6 +67,11 @@
   void accept(const Poco::Net::StreamSocket& socket);
   void accept_all_pending();
   CallId next_call_id() { return last_call_ = next_after(last_call_); }
+  // Reserves memory for a request that waits in the cluster, where nothing else bounds it. Returns false if
+  // the limit does not allow it.
+  bool hold_bytes(size_t bytes);
+  void release_bytes(size_t bytes) { held_bytes_ -= bytes; }
+  void forget_call(CallId call);
   std::optional<ClosedCall> close_call(CallId call);  // empty: the call is not open
   void reply(CallId call, const AppendReply& append);
   void reply(CallId call, const ClusterRequests::Reply& cluster_reply);
@@ -84,6 +93,7 @@
   std::map<ClientConnection*, std::unique_ptr<ClientConnection>> connections_;
   std::map<ClientConnection*, TimePoint> waiting_;  // for the rate limit, with the time when each goes on
   std::map<CallId, OpenCall> open_calls_;
+  size_t held_bytes_ = 0, max_held_bytes_ = SIZE_MAX;
   CallId last_call_{};
 };
 
--- a/tests/gateway/memory_shares_test.cpp
+++ b/tests/gateway/memory_shares_test.cpp
@@ -16,8 +16,8 @@
       const FixedMemory fixed{9 * kMegabyte, store_share * limit};
       if (fixed.program_bytes + fixed.result_store_bytes > 0.75 * limit) continue;
       const MemoryShares shares = divide_memory(limit, fixed);
-      const auto divided =
-          static_cast<double>(shares.buffer_bytes + shares.command_bytes + shares.register_bytes);
+      const auto divided = static_cast<double>(shares.buffer_bytes + shares.command_bytes +
+                                               shares.register_bytes + shares.cluster_request_bytes);
       EXPECT_LE(divided + fixed.program_bytes + fixed.result_store_bytes, limit) << limit_mb;
       EXPECT_GT(shares.command_bytes, 0u);
     }
--- a/tests/gateway/process_memory_test.cpp
+++ b/tests/gateway/process_memory_test.cpp
@@ -12,6 +12,7 @@
 #include <string>
 #include <vector>
 
+#include "fakes/gateway_cluster.h"
 #include "gateway/crowd.h"
 #include "gateway/logged_gateway_fixture.h"
 
@@ -115,6 +116,32 @@
   expect_within_limit();
 }
 
+// Run-once jobs and changes of topics that wait for a majority which is not there.
+TEST(ClusterProcessMemoryLimit, HoldsWhenManyRequestsWaitForTheCluster) {
+  constexpr int kOpenCalls = 32;
+  constexpr size_t kWaitingClients = 100;
+  constexpr int kMegabytes = 32;
+  fakes::GatewayCluster cluster(FIRVALVE_PROGRAM,
+                                {.gateways = 3, .keepers = 3, .folders = false, .memory_mb = kMegabytes});
+  ASSERT_TRUE(soon([&] { return cluster.ready(); }));
+  cluster.kill(1);
+  cluster.kill(2);
+  std::vector<std::string> texts(kWaitingClients);
+  const std::string statement = "insert into a_1.b values (" + std::string(kLargeStatementBytes, '1') + ")";
+  for (int i = 0; i < static_cast<int>(kWaitingClients) * kOpenCalls; ++i) {
+    const std::string name = R"("name":"j)" + std::to_string(i) + R"(","profile":"load",)";
+    texts[static_cast<size_t>(i) / kOpenCalls] +=
+        framed(command_request(i + 1, statement, 20000, "merge", name));
+  }
+  Crowd crowd(cluster.clients(0), kWaitingClients);
+  crowd.write(texts, 200000, std::chrono::milliseconds(4000));
+  RawClient usual(cluster.clients(0));
+  EXPECT_TRUE(contains(usual.exchange(kHeartbeat), "healthy"));
+  const auto memory = read_process_memory(std::to_string(cluster.process(0).id()));
+  ASSERT_TRUE(memory);
+  EXPECT_LE(memory->peak_bytes, kMegabytes * kBytesPerMegabyte);
+}
+
 INSTANTIATE_TEST_SUITE_P(Megabytes, ProcessMemoryLimit, testing::Values(16, 32),
                          testing::PrintToStringParamName());
 
