The size of a command's records stands once

Change: the client connection uses PendingCommands::kRecordBytes. No change of behaviour. The whole suite was not run on it.

--- a/src/net/client_connection.cpp
+++ b/src/net/client_connection.cpp
@@ -15,8 +15,8 @@
 // How long a lingering close waits for the client's end of the stream. The close of a rejected client must be
 // complete within 3 s.
 constexpr Duration kMaxLinger = 500ms;
-// What a request takes that waits in the cluster: its records, and a topic's change once it is decoded.
-constexpr size_t kRecordBytes = 1024, kBytesPerParameterByte = 4;
+// What a topic's change takes once it is decoded, for each byte of its parameters.
+constexpr size_t kBytesPerParameterByte = 4;
 
 }  // namespace
 
@@ -289,7 +289,7 @@
 void ClientConnection::handle_topic(const proto::RpcCall& request, std::string& out) {
   if (!is_cluster_call_valid(request, out) || !can_open_call(request, out)) return;
   // Held until the cluster replies, also if the call was closed before.
-  const size_t bytes = kRecordBytes + kBytesPerParameterByte * request.statement.size();
+  const size_t bytes = PendingCommands::kRecordBytes + kBytesPerParameterByte * request.statement.size();
   if (!can_hold(request, out, bytes)) return;
   const CallId call = server_.next_call_id();
   open_call(call, request.id);
@@ -336,7 +336,7 @@
   if (!is_cluster_call_valid(call, out) || !can_open_call(call, out)) return;
   std::optional<CommandRequest> request = make_command_request(call, out);
   if (!request) return;
-  const size_t bytes = kRecordBytes + request->statement.size();
+  const size_t bytes = PendingCommands::kRecordBytes + request->statement.size();
   if (!can_hold(call, out, bytes)) return;
   const CallId call_id = server_.next_call_id();
   open_call(call_id, call.id, {}, bytes);
