--- a/review/8/case.cpp
+++ b/review/8/case.cpp
@@ -1,58 +1,57 @@
-// A client writes a request slowly on a connection that has rested. The request must be answered.
+// Two timers ask for one run-once job with different statements, and the first gives up. Nobody may be served
+// with what another statement made.
 #include "../stand-ins-2/harness.h"
 
 using namespace review;
 
 namespace {
 
-constexpr double kRestMs = 3800;   // clients close connections that have rested for 4 s
-constexpr double kWriteMs = 1200;  // from the request's first byte to its last
+constexpr double kLinkMs = 40;  // messages between gateways "take 3.1 to 40 ms"
 
 bool holds() {
+  const std::string first_statement = "insert into sales_17.orders select * from staging.monday";
+  const std::string other_statement = "insert into sales_17.orders select * from staging.tuesday";
   Deployment deployment;
-  deployment.add_engines(2);
-  deployment.add_gateway();
-  deployment.start_all(false);
-  const std::string& gateway = deployment.gateway(1).listen();
-  std::atomic<int> answered{0}, lost{0}, first_failed{0};
-  std::vector<std::thread> clients;
-  for (int number = 0; number < 8; ++number)
-    clients.emplace_back([&, number] {
-      sleep_ms(40 * number);
-      Client client(gateway);
-      const Reply first = client.ask("lookup", command_params(new_id(), 4000, 25, "select 1"), 4500);
-      if (!first.is_result) {
-        ++first_failed;
-        return;
-      }
-      sleep_ms(kRestMs);
-      const std::string id = new_id();
-      const std::string body =
-          "{\"jsonrpc\":\"2.0\",\"id\":2,\"method\":\"lookup\",\"params\":" +
-          command_params(id, 4000, 25, "select * from lodges_1.rooms where id = '" + id + "'") + "}";
-      const std::string message = "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
-      const double begun_at = now_ms();
-      const size_t pieces = has_trouble() ? 12 : 1;
-      for (size_t i = 0; i < pieces; ++i) {
-        if (i > 0)
-          sleep_until(begun_at + kWriteMs * static_cast<double>(i) / static_cast<double>(pieces - 1));
-        const size_t from = message.size() * i / pieces, to = message.size() * (i + 1) / pieces;
-        client.write(message.substr(from, to - from));
-      }
-      const double written_at = now_ms();
-      const Reply reply = client.receive(5000);
-      ++(reply.has_come ? answered : lost);
-      record("client %d: %s, written from %.0f to %.0f ms after its begin: %s %.80s", number, id.c_str(), 0.0,
-             written_at - begun_at,
-             reply.has_come    ? "answered"
-             : reply.is_closed ? "the connection has ended without an answer"
-                               : "no answer",
-             reply.text.c_str());
-    });
-  for (std::thread& client : clients) client.join();
-  record("answered %d, without an answer %d", answered.load(), lost.load());
-  if (first_failed > 0) throw CannotRun("a first request was not served");
-  return lost == 0;
+  deployment.add_engines(6);
+  for (auto& engine : deployment.engines) {
+    engine->run_ms = [](const std::string&) { return 500.0; };
+    engine->pages_of = [](const std::string&, const std::string& statement) {
+      return std::vector<std::string>{"made\tby\t" + statement + "\n"};
+    };
+  }
+  deployment.add_cluster(3, 4000, kLinkMs);
+  deployment.start_all(true);
+  sleep_ms(500);
+  const auto params = [&](const std::string& statement, const std::string& id = new_id()) {
+    return command_params(id, 12000, 1000, statement, ",\"name\":\"night-1\",\"profile\":\"load\"");
+  };
+  Gateway& gateway = deployment.gateway(1);
+  Client first(gateway.listen()), other(gateway.listen());
+  const std::string first_id = new_id();
+  const int first_number = first.send("merge", params(first_statement, first_id));
+  record("first timer, gateway 1: asks for night-1: %s", first_statement.c_str());
+  sleep_ms(20);
+  other.send("merge", params(other_statement));
+  record("other timer, gateway 1: asks for night-1: %s", other_statement.c_str());
+  if (has_trouble()) {
+    gateway.wait_for_event("lease.acquired", 5000, 1);
+    sleep_ms(40);
+    first.send("revoke", "{\"id\":" + std::to_string(first_number) + ",\"req\":\"" + first_id + "\"}");
+    record("first timer: stops waiting and sends revoke");
+  } else {
+    const Reply reply = first.receive(14000);
+    record("first timer: %s rows: %s", reply.text.c_str(), reply.rows.c_str());
+  }
+  const Reply other_reply = other.receive(14000);
+  record("other timer: %s rows: %s", other_reply.text.c_str(), other_reply.rows.c_str());
+  Client again(deployment.gateway(2).listen());
+  const Reply reply = again.ask("merge", params(first_statement), 14000);
+  record("first timer again, gateway 2: %s rows: %s", reply.text.c_str(), reply.rows.c_str());
+  for (const auto& engine : deployment.engines)
+    for (const Run& run : engine->runs())
+      record("run at %s: %s", engine->name().c_str(), run.statement.c_str());
+  if (!reply.has_come) throw CannotRun("no answer");
+  return !reply.is_result || reply.rows == "made\tby\t" + first_statement + "\n";
 }
 
 }  // namespace
--- a/review/stand-ins-2/harness.h
+++ b/review/stand-ins-2/harness.h
@@ -20,6 +20,7 @@
 #include <cstdio>
 #include <cstdlib>
 #include <cstring>
+#include <deque>
 #include <filesystem>
 #include <fstream>
 #include <functional>
@@ -134,6 +135,72 @@
   return ::poll(&entry, 1, static_cast<int>(std::max(0.0, ms))) > 0;
 }
 
+// A proxy in front of one address, for links that take their time: each byte passes `delay_ms` later.
+class SlowLink {
+ public:
+  SlowLink(std::string target, double delay_ms) : target_(std::move(target)), delay_ms_(delay_ms) {
+    std::tie(listener_, address_) = listen_on_free_port();
+    std::thread([this] {
+      for (;;) {
+        const int near = ::accept4(listener_, nullptr, nullptr, SOCK_CLOEXEC);
+        if (near < 0) return;
+        const int on = 1;
+        ::setsockopt(near, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+        const int far = connect_to(target_);
+        if (far < 0) {
+          reset_and_close(near);
+          continue;
+        }
+        pass(near, far);
+        pass(far, near);
+      }
+    }).detach();
+  }
+  const std::string& address() const { return address_; }
+
+ private:
+  struct Queue {
+    std::mutex mutex;
+    std::condition_variable changed;
+    std::deque<std::pair<double, std::string>> chunks;  // with the time at which each is due; empty: the end
+  };
+
+  void pass(int from, int to) const {
+    const auto queue = std::make_shared<Queue>();
+    const double delay_ms = delay_ms_;
+    std::thread([queue, from, delay_ms] {
+      for (;;) {
+        char bytes[65536];
+        const ssize_t got = ::recv(from, bytes, sizeof bytes, 0);
+        const std::lock_guard lock(queue->mutex);
+        queue->chunks.emplace_back(now_ms() + delay_ms,
+                                   std::string(bytes, static_cast<size_t>(std::max<ssize_t>(got, 0))));
+        queue->changed.notify_one();
+        if (got <= 0) return;
+      }
+    }).detach();
+    std::thread([queue, to] {
+      for (;;) {
+        std::unique_lock lock(queue->mutex);
+        queue->changed.wait(lock, [&] { return !queue->chunks.empty(); });
+        const auto [due_at, bytes] = std::move(queue->chunks.front());
+        queue->chunks.pop_front();
+        lock.unlock();
+        sleep_until(due_at);
+        if (bytes.empty() || !write_all(to, bytes)) {
+          ::shutdown(to, SHUT_RDWR);
+          return;
+        }
+      }
+    }).detach();
+  }
+
+  const std::string target_;
+  const double delay_ms_;
+  std::string address_;
+  int listener_ = -1;
+};
+
 // ---- Base64 -------------------------------------------------------------------------------------
 
 inline std::string to_base64(const std::string& bytes) {
@@ -655,11 +722,11 @@
     throw CannotRun("gateway " + name_ + " is not ready");
   }
 
-  void wait_for_event(const std::string& event, double wait_ms = 15000) {
+  void wait_for_event(const std::string& event, double wait_ms = 15000, double interval_ms = 50) {
     const double until = now_ms() + wait_ms;
     while (now_ms() < until) {
       if (log().find("event=\"" + event + "\"") != std::string::npos) return;
-      sleep_ms(50);
+      sleep_ms(interval_ms);
     }
     throw CannotRun("gateway " + name_ + " has not logged " + event);
   }
@@ -724,17 +791,25 @@
     gateways.push_back(std::make_unique<Gateway>(
         folder, name, listen, configuration(name, listen, bus.address(), engines, 1, 0), operator_file));
   }
-  void add_cluster(int count, int lease_ms, const std::string& more = "") {
-    std::vector<std::string> peers;
-    for (int i = 0; i < count; ++i) peers.push_back(free_address());
+  std::vector<std::unique_ptr<SlowLink>> links;
+
+  // `link_ms`: the time that a message between gateways takes; 0: no proxy between them.
+  void add_cluster(int count, int lease_ms, double link_ms = 0) {
+    std::vector<std::string> peers, listens;
+    for (int i = 0; i < count; ++i) {
+      listens.push_back(free_address());
+      if (link_ms > 0) links.push_back(std::make_unique<SlowLink>(listens.back(), link_ms));
+      peers.push_back(link_ms > 0 ? links.back()->address() : listens.back());
+    }
     std::string keepers;
     for (const std::string& peer : peers) keepers += (keepers.empty() ? "\"" : ",\"") + peer + "\"";
     for (int i = 0; i < count; ++i) {
       const std::string name = "n" + std::to_string(i + 1), listen = free_address();
       const std::string file = "{\"fleet\":{\"on\":true,\"site\":\"office\",\"listen\":\"" +
+                               listens[static_cast<size_t>(i)] + "\",\"reached_at\":\"" +
                                peers[static_cast<size_t>(i)] + "\",\"keepers\":[" + keepers +
                                "],\"folder\":\"" + folder / (name + ".kept") +
-                               "\",\"lease_ms\":" + std::to_string(lease_ms) + "}" + more + "}";
+                               "\",\"lease_ms\":" + std::to_string(lease_ms) + "}}";
       gateways.push_back(std::make_unique<Gateway>(
           folder, name, listen, configuration(name, listen, bus.address(), engines, count, i), file));
     }
