A request that is being written keeps its connection from counting as idle

Cause: ClientConnection::check_timeouts() counted the idle timeout and that of a new connection from the last whole message, whether or not a message had been begun. is_input_handled() looks into the socket, and the part had been read from there.

Evidence: after the case by hand the metrics name one connection, "closed: graceful close", and no rejection, eviction or reset, which leaves the idle timeout alone. It had no counter and gets one: "client connections idle for too long".

Change: client_timeouts.h decides which timeout has expired. While a message is being received only that message's own 2 s count, from its first byte, so neither rest nor connect can end it; a client that stops within a message is rejected as before.

--- a/src/net/client_connection.cpp
+++ b/src/net/client_connection.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "net/client_timeouts.h"
 #include "proto/statement.h"
 
 namespace firvalve::net {
@@ -78,14 +79,21 @@
     if (now - last_active_at_ > kMaxLinger) close_with_reason(CloseReason::kGracefulClose);
     return;
   }
-  if (partial_message_since_ && now - *partial_message_since_ > proto::kRpcMessageTimeout)
-    return reject_connection("message cut short");
-  if (!has_sent_message_ && now - last_active_at_ > proto::kRpcMessageTimeout)
-    return reject_connection("no message");
   if (unsent_bytes() > kMaxUnsentBytes) look_for_end();  // nothing is read until the client reads
-  // Input that has already arrived is handled first.
-  if (open_calls_.empty() && now - last_active_at_ > proto::kRpcIdleTimeout && is_input_handled())
-    start_graceful_close();
+  switch (
+      expired_timeout({has_sent_message_, has_open_calls(), last_active_at_, partial_message_since_}, now)) {
+    case ClientTimeout::kNone:
+      return;
+    case ClientTimeout::kNoMessage:
+      return reject_connection("no message");
+    case ClientTimeout::kIncompleteMessage:
+      return reject_connection("message cut short");
+    case ClientTimeout::kIdle:
+      // Input that has already arrived is handled first.
+      if (!is_input_handled()) return;
+      server_.metrics_.add("client connections idle for too long");
+      return start_graceful_close();
+  }
 }
 
 // The rest of the message is skipped as it arrives, so that the framing stays intact and the calls that are
--- /dev/null
+++ b/tests/gateway/slow_requests_test.cpp
@@ -0,0 +1,65 @@
+// Requests that are written slowly or wait unread, and the timeouts of their connections, over real
+// connections.
+#include <gtest/gtest.h>
+#include <signal.h>
+#include <unistd.h>
+
+#include <chrono>
+#include <string>
+
+#include "gateway/logged_gateway_fixture.h"
+
+namespace firvalve {
+namespace {
+
+constexpr int kPieces = 12;
+
+using Milliseconds = std::chrono::milliseconds;
+
+void wait(Milliseconds time) { ::usleep(static_cast<useconds_t>(std::chrono::microseconds(time).count())); }
+
+// Writes the message in pieces, the last of them `duration` after the first.
+void send_slowly(RawClient& client, const std::string& message, Milliseconds duration) {
+  for (int i = 0; i < kPieces; ++i) {
+    if (i > 0) wait(duration / (kPieces - 1));
+    const size_t from = message.size() * static_cast<size_t>(i) / kPieces;
+    const size_t to = message.size() * static_cast<size_t>(i + 1) / kPieces;
+    client.send_bytes(message.substr(from, to - from));
+  }
+}
+
+class SlowRequests : public LoggedGateway {
+ protected:
+  void SetUp() override { start(deployment_.config(address_)); }
+};
+
+// Guards against a request that is read in part, cut off by the idle timeout and never answered.
+TEST_F(SlowRequests, RequestWrittenSlowlyAfterARestIsAnswered) {
+  RawClient client(address_);
+  ASSERT_TRUE(contains(client.exchange(command_request(1, "select 1")), R"("result")"));
+  wait(Milliseconds(3800));  // clients may rest for 4 s
+  send_slowly(client, framed(command_request(2, "select 2")), Milliseconds(1200));
+  const std::string answer = client.read_answer();
+  EXPECT_TRUE(contains(answer, R"("id":2,"result")")) << answer;
+}
+
+// Guards against a new connection that is closed under its first request.
+TEST_F(SlowRequests, FirstRequestBegunLateIsAnswered) {
+  RawClient client(address_);
+  wait(Milliseconds(1700));
+  send_slowly(client, framed(command_request(1, "select 1")), Milliseconds(800));
+  const std::string answer = client.read_answer();
+  EXPECT_TRUE(contains(answer, R"("id":1,"result")")) << answer;
+}
+
+// Guards against clients that stop within a message and keep their connection.
+TEST_F(SlowRequests, ClientThatStopsWithinAMessageIsRejectedWithinThreeSeconds) {
+  RawClient client(address_);
+  const auto connected_at = std::chrono::steady_clock::now();
+  client.send_bytes(framed(command_request(1, "select 1")).substr(0, 100));
+  EXPECT_TRUE(contains(client.read_until_close(), "message cut short"));
+  EXPECT_LT(std::chrono::steady_clock::now() - connected_at, std::chrono::seconds(3));
+}
+
+}  // namespace
+}  // namespace firvalve
