The idle timeout spares a request that waits behind unread answers

What callers saw: while over 128 kB of answers are unsent, requests are not read, and one that arrived just before stayed whole in the read buffer. After 4.5 s without reading the connection was closed as idle and that request dropped without an answer.

Cause: is_input_handled() looked into the socket alone, the same class as the slowly written request. Beside it, a message's 2 s ran on while the gateway did not read.

Change: where the gateway stops reading, buffered input counts as yet to be handled, and no timeout ends a connection while input waits in the buffer or the socket. The time of an incomplete message begins anew when the gateway reads again.

--- a/src/net/client_connection.cpp
+++ b/src/net/client_connection.cpp
@@ -80,8 +80,11 @@
     return;
   }
   if (unsent_bytes() > kMaxUnsentBytes) look_for_end();  // nothing is read until the client reads
-  switch (
-      expired_timeout({has_sent_message_, has_open_calls(), last_active_at_, partial_message_since_}, now)) {
+  const ClientActivity activity{has_sent_message_, has_open_calls(), last_active_at_, partial_message_since_};
+  const ClientTimeout expired = expired_timeout(activity, now);
+  // Input that has already arrived is handled first.
+  if (expired == ClientTimeout::kNone || !is_input_handled()) return;
+  switch (expired) {
     case ClientTimeout::kNone:
       return;
     case ClientTimeout::kNoMessage:
@@ -89,8 +92,6 @@
     case ClientTimeout::kIncompleteMessage:
       return reject_connection("message cut short");
     case ClientTimeout::kIdle:
-      // Input that has already arrived is handled first.
-      if (!is_input_handled()) return;
       server_.metrics_.add("client connections idle for too long");
       return start_graceful_close();
   }
@@ -139,8 +140,8 @@
   for (;;) {
     // Guards the memory limit against a client that sends but does not read: its requests stay in the
     // kernel's receive buffer.
-    if (unsent_bytes() > kMaxUnsentBytes) return set_reading(false);
-    if (must_wait()) return set_reading(false);
+    if (unsent_bytes() > kMaxUnsentBytes) return hold_input();
+    if (must_wait()) return hold_input();
     const proto::ReadResult read = frames_.next(read_buffer_, message);
     if (read == proto::ReadResult::kIncomplete) return update_partial_message_since();
     if (read == proto::ReadResult::kMalformed) return reject_connection("broken framing");
@@ -162,14 +163,25 @@
 void ClientConnection::resume_input() {
   handles_input_at_.reset();
   if (!is_open() || is_lingering()) return;
-  if (!is_half_closed_by_peer_) set_reading(true);
   look_for_end();
-  if (!read_buffer_.text().empty()) on_bytes();
+  resume_reading();
+}
+
+void ClientConnection::hold_input() {
+  partial_message_since_.reset();
+  set_reading(false);
+}
+
+void ClientConnection::resume_reading() {
+  if (!is_half_closed_by_peer_) set_reading(true);
+  if (!read_buffer_.text().empty())
+    on_bytes();
+  else
+    update_partial_message_since();
 }
 
 void ClientConnection::update_partial_message_since() {
-  const bool is_partial = skipped_message_ || frames_.is_in_message() || !read_buffer_.text().empty();
-  if (!is_partial)
+  if (!is_in_message())
     partial_message_since_.reset();
   else if (!partial_message_since_)
     partial_message_since_ = loop_.now();
@@ -177,8 +189,7 @@
 
 void ClientConnection::on_written() {
   if (handles_input_at_) return;
-  if (!is_half_closed_by_peer_) set_reading(true);
-  if (!read_buffer_.text().empty()) on_bytes();
+  resume_reading();
   if (is_open() && !is_lingering()) handle_answer_written();
 }
 
--- a/src/net/client_connection.h
+++ b/src/net/client_connection.h
@@ -33,8 +33,11 @@
   }
   void discard_incomplete_message() override;
 
-  // All that has arrived was handled.
-  bool is_input_handled() const { return !handles_input_at_ && has_nothing_to_read(); }
+  // All that has arrived was handled, but for the beginning of a message that has not arrived whole.
+  bool is_input_handled() const {
+    if (handles_input_at_ || (is_in_message() && !partial_message_since_)) return false;
+    return has_nothing_to_read();
+  }
   // Handles the input that has waited for the rate limit.
   void resume_input();
   bool has_open_calls() const { return !open_calls_.empty(); }
@@ -64,7 +67,14 @@
   void close_with_reason(CloseReason reason);
   // Sends an error without an id, fails each open call and closes the connection gracefully.
   void reject_connection(const char* reason);
+  // A message was begun, or input is buffered that may hold whole messages.
+  bool is_in_message() const {
+    return skipped_message_ || frames_.is_in_message() || !read_buffer_.text().empty();
+  }
   void update_partial_message_since();
+  // Stops reading. Until resume_reading(), the buffered input waits in the gateway, not for the client.
+  void hold_input();
+  void resume_reading();
   // Returns true if the next message must wait for the rate limit.
   bool must_wait();
   // Looks for the end of the client's stream behind input that waits, and reports it for all open calls.
@@ -105,8 +115,9 @@
   std::optional<TimePoint> handles_input_at_;  // set while input waits for the rate limit
   std::optional<TimePoint> end_seen_at_;       // when the end of the stream was seen, maybe behind input
   bool has_sent_message_ = false;
-  TimePoint last_active_at_;                        // time of the last complete message or answer
-  std::optional<TimePoint> partial_message_since_;  // set while an incomplete message is buffered
+  TimePoint last_active_at_;  // time of the last complete message or answer
+  // Set while an incomplete message is buffered and the rest of it is read as it arrives.
+  std::optional<TimePoint> partial_message_since_;
 };
 
 }  // namespace firvalve::net
--- a/tests/gateway/slow_requests_test.cpp
+++ b/tests/gateway/slow_requests_test.cpp
@@ -52,6 +52,22 @@
   EXPECT_TRUE(contains(answer, R"("id":1,"result")")) << answer;
 }
 
+// Guards against a request that has arrived whole and is dropped by the idle timeout, because it waits in the
+// gateway until its client reads the answers before it.
+TEST_F(SlowRequests, RequestBehindUnreadAnswersIsAnswered) {
+  constexpr int kLongAnswers = 8;
+  RawClient client(address_, RawClient::KernelBuffers::kSmall);
+  for (int id = 1; id <= kLongAnswers; ++id)
+    client.send(
+        command_request(id, "select " + std::to_string(id) + " /*! pages=8 rows=1 row-bytes=5000 */"));
+  ASSERT_TRUE(logs_soon("answered lookup: " + std::to_string(kLongAnswers)));
+  client.send(command_request(kLongAnswers + 1, "select 9"));
+  wait(Milliseconds(6000));  // longer than an idle connection stays open
+  std::string answers;
+  for (int id = 1; id <= kLongAnswers + 1; ++id) answers += client.read_answer();
+  EXPECT_TRUE(contains(answers, R"("id":9,"result")")) << answers.size();
+}
+
 // Guards against clients that stop within a message and keep their connection.
 TEST_F(SlowRequests, ClientThatStopsWithinAMessageIsRejectedWithinThreeSeconds) {
   RawClient client(address_);
