The shutdown waits for requests that are being written

What callers saw: a request begun 0.3 s after SIGTERM on an open connection and written over 1.2 s was cut off 0.7 s after SIGTERM, long before SIGKILL may come.

Cause: close_connections() closed each connection without open calls and unread input; a message that has been read in part is neither. The same class as the idle timeout.

The limit on the whole shutdown is unchanged.

--- a/src/net/client_server.cpp
+++ b/src/net/client_server.cpp
@@ -59,7 +59,7 @@
 
 // Connections in the kernel's accept queue and unread bytes in socket buffers are still accepted and
 // answered, so that the exit loses no request. Connections without open calls or unread input are closed
-// gracefully.
+// gracefully, those in the middle of a message once it is complete or its timeout has expired.
 bool ClientServer::close_connections(TimePoint now) {
   if (!is_listener_closed_) {
     accept_all_pending();
@@ -69,7 +69,8 @@
   }
   bool are_all_lingering = true;
   for (const auto& [key, connection] : connections_) {
-    if (!connection->is_lingering() && !connection->has_open_calls() && connection->is_input_handled())
+    const bool is_at_rest = !connection->has_open_calls() && !connection->is_receiving_message();
+    if (!connection->is_lingering() && is_at_rest && connection->is_input_handled())
       connection->start_graceful_close();
     are_all_lingering &= connection->is_lingering();
   }
--- a/tests/gateway/slow_requests_test.cpp
+++ b/tests/gateway/slow_requests_test.cpp
@@ -68,6 +68,20 @@
   EXPECT_TRUE(contains(answers, R"("id":9,"result")")) << answers.size();
 }
 
+// Guards against a request that was begun before the gateway was told to end and is cut off by the shutdown.
+TEST_F(SlowRequests, RequestWrittenSlowlyDuringShutdownIsAnswered) {
+  RawClient client(address_);
+  ASSERT_TRUE(contains(client.exchange(command_request(1, "select 1")), R"("result")"));
+  const auto told_at = std::chrono::steady_clock::now();
+  process_->signal(SIGTERM);
+  wait(Milliseconds(300));
+  send_slowly(client, framed(command_request(2, "select 2")), Milliseconds(1200));
+  const std::string answer = client.read_until_close();
+  EXPECT_TRUE(contains(answer, R"("id":2,"result")")) << answer;
+  EXPECT_EQ(process_->wait(), 0);
+  EXPECT_LT(std::chrono::steady_clock::now() - told_at, Milliseconds(3700));  // when SIGKILL may come
+}
+
 // Guards against clients that stop within a message and keep their connection.
 TEST_F(SlowRequests, ClientThatStopsWithinAMessageIsRejectedWithinThreeSeconds) {
   RawClient client(address_);
