A run-once job's result is served whole or not at all, never as empty

The record could not say "completed, result not stored". Behind it, a value for which the replicas have no space was proposed without end, so the job's end was never recorded, and long values could take all space.

What is not stored has the stage kCompletedWithoutResult and is answered with an error. The proposer reports that too many replicas have no space; the lease then ends the write, and the end is recorded without the rows. A quarter of the space is left to changes of 4,096 bytes at most. A record of an earlier program with empty rows is read as not stored; completed records with rows keep their bytes; an earlier program reads the new stage as unknown.

RunOnceJobsTest, RunOnceJobTest, ConsensusTest and Processes.WhereTheReplicasHaveNoSpace... cover the rest.

--- a/src/cluster/run_once_requests.cpp
+++ b/src/cluster/run_once_requests.cpp
@@ -4,6 +4,8 @@
 
 #include <algorithm>
 
+#include "proto/store/attempt_exchange.h"
+
 namespace firvalve::cluster {
 
 using Action = lease::RunOnceJobs::Action;
@@ -12,6 +14,7 @@
 namespace {
 
 constexpr Duration kMinTimeout(1);
+static_assert(lease::kMaxStoredRowsBytes >= proto::kMaxResultBytes, "each result can be stored");
 
 }  // namespace
 
--- a/src/consensus/acceptor.cpp
+++ b/src/consensus/acceptor.cpp
@@ -136,10 +136,16 @@
 
 bool Acceptor::exceeds_limits(const AcceptorSlot& slot, const Register& proposed) const {
   const size_t before = slot.accepted.value.size(), after = proposed.value.size();
-  const bool grows_past_limit = after > before && value_bytes_ + after - before > options_.max_value_bytes;
+  const bool grows_past_limit = after > before && !has_space_for(after - before);
   return grows_past_limit || after > kMaxValueBytes || proposed.earlier_changes.size() > kMaxEarlierChanges;
 }
 
+bool Acceptor::has_space_for(size_t growth_bytes) const {
+  const double share = growth_bytes > kMaxSmallGrowthBytes ? kMaxLargeGrowthShare : 1;
+  return static_cast<double>(value_bytes_ + growth_bytes) <=
+         share * static_cast<double>(options_.max_value_bytes);
+}
+
 void Acceptor::store_accepted(BootTime now, const std::string& key, AcceptorSlot& slot,
                               const Message& accept) {
   const bool is_new_change = slot.accepted.change_id != accept.register_state.change_id;
--- a/src/consensus/acceptor.h
+++ b/src/consensus/acceptor.h
@@ -28,6 +28,11 @@
 
 namespace firvalve::consensus {
 
+// A part of the space is reserved for small changes, such as acquired leases and started jobs, so that long
+// results leave room for them.
+constexpr size_t kMaxSmallGrowthBytes = 4096;
+constexpr double kMaxLargeGrowthShare = 0.75;
+
 // Settings of an acceptor.
 struct AcceptorOptions {
   uint32_t self = 0, replica_count = 3;        // `self`: this replica's PeerId
@@ -37,7 +42,8 @@
   size_t max_page_entries = 64;                // per message
   size_t max_page_bytes = size_t{256} * 1024;  // a message with this many value bytes gets no further entry
   size_t max_registers = 65536;
-  // Total size of all values. A change that makes a value longer is rejected if it would exceed the limit.
+  // Total size of all values. A change that makes a value longer is rejected if it would exceed the limit, or
+  // if it adds more than kMaxSmallGrowthBytes and would exceed kMaxLargeGrowthShare of the limit.
   size_t max_value_bytes = size_t{32} * 1024 * 1024;
 };
 
@@ -111,6 +117,7 @@
 
   AcceptorSlot* find_or_add_slot(const std::string& key);  // null: too many registers, or the key is too long
   bool exceeds_limits(const AcceptorSlot& slot, const Register& proposed) const;
+  bool has_space_for(size_t growth_bytes) const;
   void store_accepted(BootTime now, const std::string& key, AcceptorSlot& slot, const Message& accept);
   void assign_newest_position(const std::string& key);
 
--- a/src/consensus/proposer.cpp
+++ b/src/consensus/proposer.cpp
@@ -48,7 +48,7 @@
 
 void Proposer::start_phase(BootTime now, Round round) {
   round.responses.clear();
-  round.rejections = 0;
+  round.rejections = round.out_of_space_rejections = 0;
   round.resends = 0;
   round.deadline = now + options_.response_timeout;
   const RequestId id = ++last_request_id_;
@@ -126,7 +126,11 @@
 void Proposer::handle_rejected(BootTime now, Rounds::iterator it, const Message& message) {
   highest_ballot_number_ = std::max(highest_ballot_number_, message.ballot.number);
   const uint32_t max_rejections = options_.replica_count - quorum_size(options_.replica_count);
-  if (++it->second.rejections > max_rejections) back_off(now, it);
+  Round& round = it->second;
+  round.out_of_space_rejections += message.is_out_of_space ? 1 : 0;
+  if (++round.rejections <= max_rejections) return;
+  round.is_out_of_space = round.out_of_space_rejections > max_rejections;
+  back_off(now, it);
 }
 
 void Proposer::on_prepared(BootTime now, Rounds::iterator it, const Responses& responses) {
@@ -176,6 +180,7 @@
   if (now >= round.proposal.deadline) {
     using Kind = ProposalResult::Kind;
     finish(round, round.has_sent_own_change ? Kind::kUnknown : Kind::kNoQuorum, {});
+    results_.back().is_out_of_space = round.is_out_of_space;
     rounds_.erase(it);
     return;
   }
@@ -205,6 +210,7 @@
     digest.add(id).add(proposal.id).add(proposal.key).add(proposal.expected_change).add(proposal.value);
     digest.add(round.phase).add(round.ballot).add(round.highest_sent_accept).add(round.has_sent_own_change);
     digest.add(round.proposed).add(round.outcome).add(round.rejections).add(round.resends);
+    digest.add(round.out_of_space_rejections).add(round.is_out_of_space);
     for (const auto& [replica, response] : round.responses)
       digest.add(replica)
           .add(response.incarnation)
--- a/src/consensus/proposer.h
+++ b/src/consensus/proposer.h
@@ -52,6 +52,9 @@
   Proposal proposal;
   Register current;      // the committed register, for kCommitted, kConflict and kRead
   BootTime proposed_at;  // when the first request of the proposal was sent
+  // For kNoQuorum and kUnknown: the last attempt that was rejected failed because too many replicas had no
+  // space for the register.
+  bool is_out_of_space = false;
 };
 
 class Proposer {
@@ -91,7 +94,8 @@
     Register proposed;                 // sent in the current accept phase
     ProposalResult::Kind outcome = ProposalResult::Kind::kUnknown;  // result if `proposed` is accepted
     std::map<PeerId, Response> responses;
-    uint32_t rejections = 0;
+    uint32_t rejections = 0, out_of_space_rejections = 0;
+    bool is_out_of_space = false;  // as in ProposalResult
     int resends = 0;
     BootTime deadline;  // of the phase: when to resend requests or end the backoff
     Backoff backoff;
--- a/src/lease/lease_manager.cpp
+++ b/src/lease/lease_manager.cpp
@@ -297,7 +297,7 @@
   if (lease.proposal.id != result.proposal.id || lease.pending == Pending::kNone) return;
   switch (result.kind) {
     case consensus::ProposalResult::Kind::kUnknown:
-      return on_unknown_result(now, lease);
+      return on_unknown_result(now, it->first, lease, result);
     case consensus::ProposalResult::Kind::kNoQuorum:
       return on_no_quorum(now, lease);
     case consensus::ProposalResult::Kind::kCommitted:
@@ -310,11 +310,25 @@
 
 // The proposal may be committed. It is proposed again under the same id, and the lease still counts from the
 // first proposal.
-void LeaseManager::on_unknown_result(BootTime now, Lease& lease) {
+void LeaseManager::on_unknown_result(BootTime now, const std::string& name, Lease& lease,
+                                     const consensus::ProposalResult& result) {
+  if (result.is_out_of_space && lease.pending == Pending::kWriteState)
+    return give_up_state_write(now, name, lease);
   lease.proposal.deadline = now + kProposalTimeoutFraction * options_.duration;
   proposals_.push_back(lease.proposal);
 }
 
+// Proposing the state again would not help. A minority may have accepted it, so it may still be committed;
+// the next proposal then conflicts with it.
+void LeaseManager::give_up_state_write(BootTime now, const std::string& name, Lease& lease) {
+  lease.pending = Pending::kNone;
+  if (lease.is_held()) {
+    Event& event = events_.emplace_back(Event{Event::Kind::kStateWritten, name, lease.epoch});
+    event.is_out_of_space = true;
+  }
+  on_tick(now);
+}
+
 // The proposal was not committed. on_tick() proposes what is due; a state write is queued again, because its
 // caller must get a kStateWritten event.
 void LeaseManager::on_no_quorum(BootTime now, Lease& lease) {
--- a/src/lease/lease_manager.h
+++ b/src/lease/lease_manager.h
@@ -67,7 +67,7 @@
     kRenewed,       // epoch, valid_until
     kReleased,      // epoch, reason: this process gave up the lease
     kLost,          // epoch, reason
-    kStateWritten,  // epoch, is_committed: a write_state() has ended
+    kStateWritten,  // epoch, is_committed, is_out_of_space: a write_state() has ended
     kObserved,      // epoch: a changed record was observed
     kUnreadable,    // the stored value is not a valid lease record
   };
@@ -77,6 +77,7 @@
   EndReason reason = EndReason::kNone;
   std::optional<BootTime> valid_until{};  // the holder may act until then, unless a later event ends that
   bool is_committed = false;
+  bool is_out_of_space = false;  // the replicas have no space for the state; the lease is still held
 };
 
 class LeaseManager {
@@ -173,7 +174,9 @@
   void propose_as_holder(BootTime now, const std::string& name, Lease& lease);
   void propose_acquisition(BootTime now, const std::string& name, Lease& lease);
 
-  void on_unknown_result(BootTime now, Lease& lease);
+  void on_unknown_result(BootTime now, const std::string& name, Lease& lease,
+                         const consensus::ProposalResult& result);
+  void give_up_state_write(BootTime now, const std::string& name, Lease& lease);
   void on_no_quorum(BootTime now, Lease& lease);
   void on_conflict(BootTime now, Leases::iterator it, const consensus::ProposalResult& result);
   void on_committed(BootTime now, Leases::iterator it, const consensus::ProposalResult& result);
--- a/src/lease/run_once_job.cpp
+++ b/src/lease/run_once_job.cpp
@@ -12,6 +12,7 @@
   out.add_run_id(job.run_id);
   out.add_statement_hash(job.statement_hash);
   out.add_rows(rows);
+  out.add_is_result_empty(job.stage == RunOnceJob::Stage::kCompleted && job.rows.empty());
   builder.Finish(out.Finish());
   return {reinterpret_cast<const char*>(builder.GetBufferPointer()), builder.GetSize()};
 }
@@ -28,6 +29,8 @@
   job.run_id = in->run_id();
   job.statement_hash = in->statement_hash();
   if (in->rows()) job.rows = in->rows()->str();
+  if (job.stage == RunOnceJob::Stage::kCompleted && job.rows.empty() && !in->is_result_empty())
+    job.stage = RunOnceJob::Stage::kCompletedWithoutResult;
   return job;
 }
 
--- a/src/lease/run_once_jobs.cpp
+++ b/src/lease/run_once_jobs.cpp
@@ -12,10 +12,23 @@
 // Error messages to clients.
 constexpr std::string_view kMayHaveRun = "it may have run";
 constexpr std::string_view kFailedMayHaveRun = "failed; it may have run";
+constexpr std::string_view kResultNotStored = "it has completed; its result is not stored";
 constexpr std::string_view kOtherStatement = "another statement stands under this name";
 // Another gateway may have started the job in the meantime, so this gateway cannot say that it never ran.
 constexpr std::string_view kShuttingDown = "this gateway ends; it may have run";
 
+// The error for callers of a finished job that has no result to return.
+std::string_view error_of(RunOnceJob::Stage stage) {
+  if (stage == RunOnceJob::Stage::kFailed) return kFailedMayHaveRun;
+  if (stage == RunOnceJob::Stage::kCompletedWithoutResult) return kResultNotStored;
+  return kMayHaveRun;
+}
+
+void drop_result(RunOnceJob& job) {
+  job.stage = RunOnceJob::Stage::kCompletedWithoutResult;
+  job.rows.clear();
+}
+
 }  // namespace
 
 void RunOnceJobs::submit(BootTime now, const std::string& key, CallId call, uint64_t statement_hash,
@@ -58,7 +71,7 @@
     else if (outcome.stage == RunOnceJob::Stage::kCompleted)
       actions_.push_back({Action::Kind::kComplete, key, waiting.call, outcome.rows, {}, {}});
     else
-      fail_call(key, waiting, outcome.stage == RunOnceJob::Stage::kFailed ? kFailedMayHaveRun : kMayHaveRun);
+      fail_call(key, waiting, error_of(outcome.stage));
   }
   it->second.calls.clear();
 }
@@ -132,11 +145,7 @@
     job.step = Step::kCampaign;
     return advance_job(now, it);
   }
-  if (is_state_written && job.step == Step::kRecordOutcome) {
-    job.step = Step::kCampaign;
-    job.has_unrecorded_outcome = !event.is_committed;
-    return advance_job(now, it);
-  }
+  if (is_state_written && job.step == Step::kRecordOutcome) return on_outcome_written(now, it, event);
   if (event.kind == Event::Kind::kAcquired || event.kind == Event::Kind::kObserved) advance_job(now, it);
 }
 
@@ -150,6 +159,15 @@
     actions_.push_back({Action::Kind::kStart, it->first, job.running_call, {}, {}, {}});
 }
 
+// A result for which the replicas have no space is not stored, but the job's end is.
+void RunOnceJobs::on_outcome_written(BootTime now, Jobs::iterator it, const Event& event) {
+  Job& job = it->second;
+  job.step = Step::kCampaign;
+  job.has_unrecorded_outcome = !event.is_committed;
+  if (event.is_out_of_space && job.outcome.stage == RunOnceJob::Stage::kCompleted) drop_result(job.outcome);
+  advance_job(now, it);
+}
+
 // Callers at this gateway are answered at once: the outcome is known here even if it cannot be recorded.
 void RunOnceJobs::on_run_finished(BootTime now, const std::string& key, RunOutcome outcome, std::string rows,
                                   Duration retry_after) {
@@ -165,7 +183,7 @@
     job.outcome.statement_hash = decode_run_once_job(record->state).statement_hash;
   job.outcome.rows = std::move(rows);
   answer_callers(it, job.outcome);
-  if (job.outcome.rows.size() > kMaxStoredRowsBytes) job.outcome.rows.clear();
+  if (job.outcome.rows.size() > kMaxStoredRowsBytes) drop_result(job.outcome);
   record_outcome(now, it);
 }
 
--- a/src/lease/run_once_jobs.h
+++ b/src/lease/run_once_jobs.h
@@ -5,8 +5,9 @@
 // A gateway that gets a call campaigns for the key's lease. The holder records in the lease's state that the
 // job is started, and starts it only after that is committed, so a later holder never starts it again, even
 // if the first one has failed. If the job is proved never to have run (it was shed before any attempt), the
-// state says so, and it may be started for the next caller. All callers get the outcome: the rows, that the
-// job failed, or that it may have run. A key is never reusable; running the job once more takes another key.
+// state says so, and it may be started for the next caller. All callers get the outcome: the whole result,
+// that the job completed but its result is not stored, that it failed, or that it may have run. A key is
+// never reusable; running the job once more takes another key.
 //
 // This prevents a job from running twice. The cost: if a holder fails between the record and the first
 // attempt, the job has not run and never will under that key.
@@ -36,7 +37,7 @@
     enum class Kind : uint8_t {
       kStart,     // run the job for this call
       kComplete,  // answer the call with the rows
-      kFail,      // answer the call with the error: the job may have run
+      kFail,      // answer the call with the error: the job ran or may have run
       kShed,      // answer the call that the job never ran and may be retried after retry_after
       kReject,    // answer the call with the error: the key belongs to another statement
     };
@@ -107,6 +108,7 @@
   void on_never_ran(BootTime now, Jobs::iterator it, Duration retry_after);
   void fail_call(const std::string& key, const WaitingCall& call, std::string_view error);
   void answer_callers(Jobs::iterator it, const RunOnceJob& outcome);
+  void on_outcome_written(BootTime now, Jobs::iterator it, const Event& event);
   void remove_job(BootTime now, Jobs::iterator it);
 
   LeaseManager& leases_;
--- a/tests/cluster/processes_test.cpp
+++ b/tests/cluster/processes_test.cpp
@@ -293,6 +293,50 @@
   EXPECT_EQ(runs("insert another"), 0);
 }
 
+// Guards against a long result that is served as empty to a client that asks after the run.
+TEST_F(Processes, ALongResultIsServedWholeAtEveryGatewayAfterTheRun) {
+  GatewayCluster& deployment = start_deployment();
+  const std::string load = "insert night /*! pages=8 rows=1 row-bytes=5900 */";
+  const client::Result first = request_job({0}, "night", load);
+  ASSERT_EQ(first.outcome, client::Outcome::kAnswered) << first.why;
+  EXPECT_GT(first.rows.size(), 47000u);
+  for (size_t g = 0; g < deployment.size(); ++g) {
+    const client::Result again = request_job({g}, "night", load);
+    EXPECT_EQ(again.outcome, client::Outcome::kAnswered) << again.why;
+    EXPECT_EQ(again.rows, first.rows) << again.rows.size();
+  }
+}
+
+// Guards against long results that fill the replicas, so that no outcome is recorded and no job starts.
+TEST_F(Processes, WhereTheReplicasHaveNoSpaceJobsRunAndTheirEndIsKnownWithoutTheirResults) {
+  constexpr int kJobs = 30;  // their results are more than the replicas have space for
+  GatewayClusterOptions options;
+  options.gateways = 3;
+  options.memory_mb = 16;
+  start_deployment(options);
+  const auto load = [](int job) {
+    return fmt::format("insert {} /*! pages=8 rows=1 row-bytes=5900 */", job);
+  };
+  std::string rows;
+  for (int job = 0; job < kJobs; ++job) {
+    const client::Result first = request_job({0}, fmt::format("night-{}", job), load(job));
+    ASSERT_EQ(first.outcome, client::Outcome::kAnswered) << job << ": " << first.why;
+    rows = first.rows;
+  }
+  int stored = 0, not_stored = 0;
+  for (int job = 0; job < kJobs; ++job) {
+    const client::Result again = request_job({1}, fmt::format("night-{}", job), load(job));
+    if (again.outcome == client::Outcome::kAnswered && again.rows == rows)
+      ++stored;
+    else if (again.why.find("it has completed; its result is not stored") != std::string::npos)
+      ++not_stored;
+    else
+      ADD_FAILURE() << job << ": " << again.rows.size() << " bytes, " << again.why;
+  }
+  EXPECT_GT(stored, 0);
+  EXPECT_GT(not_stored, 0);
+}
+
 TEST_F(Processes, AHolderKilledDuringAJobLeavesItsOutcomeUnknown) {
   GatewayCluster& deployment = start_deployment();
   const std::string load = "insert night /*! delay=3000 */";
--- a/tests/consensus/acceptor_test.cpp
+++ b/tests/consensus/acceptor_test.cpp
@@ -276,6 +276,38 @@
   EXPECT_TRUE(output.messages[1].message.is_out_of_space);
 }
 
+// Guards against long values that leave no space for leases and started jobs.
+TEST_F(ConsensusTest, LargeGrowthLeavesSpaceForSmallGrowth) {
+  AcceptorOptions options;
+  options.replica_count = 1;
+  options.max_value_bytes = 4 * kMaxSmallGrowthBytes;
+  Acceptor acceptor(options, 5);
+  const auto is_accepted = [&](const char* key, size_t value_bytes) {
+    Message message = accept(1, 1);
+    message.key = key;
+    message.register_state.value.assign(value_bytes, 'x');
+    acceptor.handle(now_, kClient, message);
+    return acceptor.take_output().messages.back().message.type == MessageType::kAccepted;
+  };
+  EXPECT_FALSE(is_accepted("a", 3 * kMaxSmallGrowthBytes + 1));
+  EXPECT_TRUE(is_accepted("a", 3 * kMaxSmallGrowthBytes));
+  EXPECT_FALSE(is_accepted("b", kMaxSmallGrowthBytes + 1));
+  EXPECT_TRUE(is_accepted("b", kMaxSmallGrowthBytes));
+  EXPECT_FALSE(is_accepted("c", 1));
+}
+
+// Guards against a proposer that cannot tell a lack of space, which lasts, from a lack of replicas.
+TEST_F(ConsensusTest, ProposalForWhichAQuorumHasNoSpaceEndsAsOutOfSpace) {
+  Proposal change = make_change(1, 0);
+  change.value.assign(kMaxValueBytes + 1, 'x');
+  ProposalResult result = propose(change);
+  EXPECT_EQ(result.kind, ProposalResult::Kind::kUnknown);
+  EXPECT_TRUE(result.is_out_of_space);
+  result = propose(make_change(2, 0), {0});
+  EXPECT_EQ(result.kind, ProposalResult::Kind::kNoQuorum);
+  EXPECT_FALSE(result.is_out_of_space);
+}
+
 TEST_F(ConsensusTest, NumberOfRegistersIsLimited) {
   AcceptorOptions options;
   options.self = 0;
--- a/tests/lease/lease_fixture.h
+++ b/tests/lease/lease_fixture.h
@@ -32,7 +32,10 @@
 // Registers that commit each proposal at once.
 struct FakeRegisters {
   std::map<std::string, consensus::Register> stored;
+  size_t max_value_bytes = SIZE_MAX;  // there is no space for a longer value
   consensus::ProposalResult change(BootTime now, const consensus::Proposal& proposal) {
+    if (proposal.value.size() > max_value_bytes)
+      return {consensus::ProposalResult::Kind::kUnknown, proposal, {}, now, true};
     consensus::Register& current = stored[proposal.key];
     const consensus::ProposalResult::Kind kind = compare_and_set(current, proposal);
     return {kind, proposal, current, now};
--- a/tests/lease/run_once_jobs_test.cpp
+++ b/tests/lease/run_once_jobs_test.cpp
@@ -14,6 +14,24 @@
   void submit(FakeGateway& gateway, RunOnceJobs::CallId call, BootTime now, uint64_t statement_hash = 7) {
     gateway.jobs.submit(now, "night", call, statement_hash, now + 10s);
   }
+  // Gateway a_ runs the job for its call 1, with these rows as its result.
+  void complete_at_a(const std::string& rows) {
+    submit(a_, 1, at(100));
+    run(registers_, {&a_}, at(100), at(1000));
+    ASSERT_EQ(a_.count(ActionKind::kStart), 1);
+    a_.jobs.on_run_finished(at(1000), "night", RunOnceJobs::RunOutcome::kCompleted, rows);
+    run(registers_, {&a_}, at(1000), at(2000));
+  }
+  // Callers after the run learn at both gateways that the job has completed, and do not run it again.
+  void expect_result_is_not_stored() {
+    for (FakeGateway* gateway : {&a_, &b_}) {
+      submit(*gateway, 2, at(5000));
+      run(registers_, {gateway}, at(5000), at(6000));
+      EXPECT_EQ(gateway->actions.back().kind, ActionKind::kFail);
+      EXPECT_EQ(gateway->actions.back().error, "it has completed; its result is not stored");
+    }
+    EXPECT_EQ(a_.count(ActionKind::kStart) + b_.count(ActionKind::kStart), 1);
+  }
 };
 
 TEST_F(RunOnceJobsTest, TwoGatewaysStartAJobOnceAndBothAnswerWithItsRows) {
@@ -35,6 +53,42 @@
   EXPECT_EQ(a_.actions.back().kind, ActionKind::kComplete);
 }
 
+// Guards against a result that is served as empty because it was too long for the record.
+TEST_F(RunOnceJobsTest, LongestResultIsServedWholeToCallersAfterTheRun) {
+  const std::string rows(kMaxStoredRowsBytes, 'r');
+  complete_at_a(rows);
+  for (FakeGateway* gateway : {&a_, &b_}) {
+    submit(*gateway, 2, at(5000));
+    run(registers_, {gateway}, at(5000), at(6000));
+    EXPECT_EQ(gateway->actions.back().kind, ActionKind::kComplete);
+    EXPECT_EQ(gateway->actions.back().rows, rows);
+  }
+}
+
+// Guards against a result that is served as empty because it is not stored.
+TEST_F(RunOnceJobsTest, ResultTooLongToStoreIsNotServedAsEmpty) {
+  complete_at_a(std::string(kMaxStoredRowsBytes + 1, 'r'));
+  EXPECT_EQ(a_.actions.back().rows.size(), kMaxStoredRowsBytes + 1);  // its caller waited for the run
+  expect_result_is_not_stored();
+}
+
+// Guards against an outcome that is never recorded because its result does not fit into the replicas.
+TEST_F(RunOnceJobsTest, OutcomeIsRecordedWithoutItsResultWhereTheReplicasHaveNoSpace) {
+  registers_.max_value_bytes = 1000;
+  complete_at_a(std::string(2000, 'r'));
+  EXPECT_EQ(a_.count(ActionKind::kComplete), 1);
+  EXPECT_TRUE(a_.jobs.is_idle());
+  expect_result_is_not_stored();
+}
+
+TEST_F(RunOnceJobsTest, ResultWithoutRowsIsServedAsEmpty) {
+  complete_at_a("");
+  submit(b_, 2, at(5000));
+  run(registers_, {&b_}, at(5000), at(6000));
+  EXPECT_EQ(b_.actions.back().kind, ActionKind::kComplete);
+  EXPECT_EQ(b_.actions.back().rows, "");
+}
+
 TEST_F(RunOnceJobsTest, StartedJobOfAFailedHolderIsAnsweredAsMayHaveRun) {
   submit(a_, 1, at(100));
   run(registers_, {&a_}, at(100), at(1000));
